Test parsers by tables and each rule on real sockets

A client with a 4 KiB receive window took 100 s for 60 values: the kernel's zero-window probes, not the proxy; the test now fills buffers with volume.

--- /dev/null
+++ b/tests/net/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/net/parsers_test.cpp
@@ -0,0 +1,287 @@
+// Tables of cases, good and bad, for everything that reads a peer's bytes.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "app/config.h"
+#include "discovery/http.h"
+#include "discovery/members.h"
+#include "net/socket.h"
+#include "pg/message.h"
+#include "pg/statement.h"
+#include "proxy/outcome.h"
+#include "routing/unix_clock.h"
+
+namespace linenwinch {
+
+using namespace std::string_literals;
+using pg::Parse;
+
+TEST_CASE("frames") {
+  struct Case {
+    std::string in;
+    Parse parse;
+    std::string body;
+  };
+  auto c = GENERATE(values<Case>({{"", Parse::kMore, ""},
+                                  {"Q", Parse::kMore, ""},
+                                  {"Q\0\0\0\4"s, Parse::kOk, ""},
+                                  {"Q\0\0\0\6ab"s, Parse::kOk, "ab"},
+                                  {"Q\0\0\0\6abmore"s, Parse::kOk, "ab"},
+                                  {"Q\0\0\0\6a"s, Parse::kMore, ""},
+                                  {"Q\0\0\0\3"s, Parse::kBad, ""},
+                                  {"Q\0\0\0\x20"s, Parse::kBad, ""},
+                                  {"Q\xff\xff\xff\xff"s, Parse::kBad, ""},
+                                  {"\x01", Parse::kBad, ""},
+                                  {"\0\0\0\10"s, Parse::kBad, ""}}));
+  pg::Frame frame;
+  CHECK(pg::parse_frame(c.in, 16, &frame) == c.parse);
+  CHECK(frame.body == c.body);
+}
+
+TEST_CASE("first messages") {
+  struct Case {
+    std::string in;
+    Parse parse;
+    pg::Opening kind;
+  };
+  auto c = GENERATE(values<Case>({
+      {"\0\0\0"s, Parse::kMore, pg::Opening::kOther},
+      {"\0\0\0\x08\x04\xd2\x16\x2f"s, Parse::kOk, pg::Opening::kSsl},
+      {"\0\0\0\x08\x04\xd2\x16\x30"s, Parse::kOk, pg::Opening::kGssEnc},
+      {"\0\0\0\x10\x04\xd2\x16\x2e\0\0\0\0\0\0\0\0"s, Parse::kOk, pg::Opening::kCancel},
+      {"\0\0\0\x08\0\2\0\0"s, Parse::kOk, pg::Opening::kOther},
+      {"\0\0\0\x09\0\3\0\0\0"s, Parse::kOk, pg::Opening::kStartup},
+      {"\0\0\0\x0d\0\3\0\0a\0b\0\0"s, Parse::kOk, pg::Opening::kStartup},
+      {"\0\0\0\x0c\0\3\0\0a\0b\0"s, Parse::kBad, pg::Opening::kStartup},
+      {"\0\0\0\x0a\0\3\0\0aa"s, Parse::kBad, pg::Opening::kStartup},
+      {"\0\0\0\x08\0\3\0\0"s, Parse::kBad, pg::Opening::kStartup},
+      {"\0\0\0\x07"s, Parse::kBad, pg::Opening::kOther},
+      {"GET / HTTP/1.1\r\n", Parse::kBad, pg::Opening::kOther},
+  }));
+  pg::FirstMessage first;
+  CHECK(pg::parse_first(c.in, &first) == c.parse);
+  CHECK(first.kind == c.kind);
+  CHECK(pg::parse_first(pg::startup_message("u", "d"), &first) == Parse::kOk);
+}
+
+TEST_CASE("small messages") {
+  CHECK(pg::text_of_query("ab\0"s) == "ab");
+  CHECK_FALSE(pg::text_of_query("ab"));
+  CHECK_FALSE(pg::text_of_query("a\0b\0"s));
+  CHECK_FALSE(pg::text_of_query(""));
+  CHECK(pg::parse_parameter("a\0b\0"s)->value == "b");
+  CHECK_FALSE(pg::parse_parameter("a\0b"s));
+  CHECK_FALSE(pg::parse_parameter("a\0b\0c"s));
+  CHECK(pg::parse_single_column("\0\1\0\0\0\2xy"s) == "xy");
+  for (auto bad : {"\0\2\0\0\0\2xy"s, "\0\1\0\0\0\3xy"s, "\0\1\xff\xff\xff\xff"s, "\0\1"s, ""s})
+    CHECK_FALSE(pg::parse_single_column(bad));
+  auto error = pg::error_response("ERROR", "53300", "text", "120");
+  auto fields = pg::parse_error(std::string_view(error).substr(5));
+  REQUIRE(fields);
+  CHECK(fields->code == "53300");
+  CHECK(fields->detail == "120");
+  for (auto bad : {""s, "\0"s, "Mtext\0\0"s, "C53300"s}) CHECK_FALSE(pg::parse_error(bad));
+}
+
+TEST_CASE("statements: good ones") {
+  std::string_view why;
+  std::string text =
+      "SELECT content FROM kv WHERE name = '7f3a' /* "
+      "id=9b,c=basket,d=480,cluster=2,after=1767225600123,r=1,new=x */";
+  auto s = pg::parse_statement(text, &why);
+  REQUIRE(s.kind == pg::StatementKind::kRead);
+  CHECK(s.key == "7f3a");
+  CHECK(s.id == "9b");
+  CHECK(s.cls == "basket");
+  CHECK(s.wait_ms == 480);
+  CHECK(text.substr(s.wait_at, s.wait_end - s.wait_at) == "480");
+  CHECK(s.cluster == 2);
+  CHECK(s.after == 1767225600123);
+  CHECK(s.retry);
+  auto w = pg::parse_statement(
+      "INSERT INTO kv (name, content) VALUES ('a''b', '\\x9f /* d=1 */ 03') RETURNING content /* "
+      "id=1,c=o,d=5,k=5c,cluster=-7,after=0 */",
+      &why);
+  REQUIRE(w.kind == pg::StatementKind::kWrite);
+  CHECK(w.key == "a''b");
+  CHECK(w.idempotency_key == "5c");
+  CHECK(w.cluster == -7);
+  CHECK(w.wait_ms == 5);
+  CHECK_FALSE(w.after);
+}
+
+TEST_CASE("statements: empty ones, SET and its like") {
+  std::string_view why;
+  for (auto text : {"", " ", ";", " ;\n"})
+    CHECK(pg::parse_statement(text, &why).kind == pg::StatementKind::kEmpty);
+  for (auto text : {"SET a = 1", "set a to b;", "RESET ALL", "discard all"})
+    CHECK(pg::parse_statement(text, &why).kind == pg::StatementKind::kSession);
+}
+
+TEST_CASE("statements: bad ones") {
+  std::string select = "SELECT content FROM kv WHERE name = ", comment = " /* id=1,c=o,d=5,cluster=2 */";
+  auto text = GENERATE_COPY(values<std::string>(
+      {"SELECT 1",
+       "SETTLE",
+       "SET a = 1; DROP TABLE kv",
+       "select content from kv where name = 'a'" + comment,
+       select + "'a'",
+       select + "''" + comment,
+       select + "'a" + comment,
+       select + "'a';" + comment,
+       select + "'a'" + comment + " ",
+       select + "'a' OR 1=1" + comment,
+       select + "'a' /* id=1 */" + comment,
+       select + "'a' /* id=1,c=o,d=5 */",
+       select + "'a' /* id=1,c=o,cluster=2 */",
+       select + "'a' /* c=o,d=5,cluster=2 */",
+       select + "'a' /* id=1,d=5,cluster=2 */",
+       select + "'a' /* id=,c=o,d=5,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=0,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=-5,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=5x,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=99999999999,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=5,d=5,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=5,cluster=b */",
+       select + "'a' /* id=1,c=o,d=5,cluster=2,cluster=2 */",
+       select + "'a' /* id=1,c=o,d=5,cluster=2,after=-1 */",
+       select + "'a' /* id=1,c=o,d=5,cluster=2,r=2 */",
+       select + "'a' /* id=1,c=o,d=5,cluster=2,x */",
+       select + "'a' /* id=1,id=2,c=o,d=5,cluster=2 */",
+       "INSERT INTO kv (name, content) VALUES ('a', 'b')" + comment,
+       "INSERT INTO kv (name, content) VALUES ('a') RETURNING content" + comment,
+       "INSERT INTO kv (name, content) VALUES ('a', 'b'), ('c', 'd') RETURNING content" + comment}));
+  std::string_view why;
+  CAPTURE(text);
+  CHECK(pg::parse_statement(text, &why).kind == pg::StatementKind::kUnknown);
+  CHECK_FALSE(why.empty());
+}
+
+TEST_CASE("responses of HTTP") {
+  using discovery::HttpParse;
+  struct Case {
+    std::string in;
+    bool ended;
+    HttpParse parse;
+    std::string body;
+    bool keep;
+  };
+  auto c = GENERATE(values<Case>({
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, HttpParse::kOk, "ok", true},
+      {"HTTP/1.1 200 OK\r\ncontent-length:2\r\nConnection: close\r\n\r\nok", false, HttpParse::kOk, "ok",
+       false},
+      {"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", false, HttpParse::kOk, "", false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n3;x=y\r\nyes\r\n0\r\n\r\n", false,
+       HttpParse::kOk, "okyes", true},
+      {"HTTP/1.1 204 No Content\r\n\r\n", false, HttpParse::kOk, "", true},
+      {"HTTP/1.1 200 OK\r\n\r\nall", true, HttpParse::kOk, "all", false},
+      {"HTTP/1.1 200 OK\r\n\r\nall", false, HttpParse::kMore, "", false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", false, HttpParse::kMore, "", true},
+      {"HTTP/1.1 200 OK\r\nContent-Le", false, HttpParse::kMore, "", true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false, HttpParse::kMore, "ok",
+       true},
+      {"", false, HttpParse::kMore, "", true},
+      {"HTTP/1.1 200 OK\r\nContent-Le", true, HttpParse::kBad, "", true},
+      {"SSH-2.0", false, HttpParse::kBad, "", true},
+      {"HTTP/1.1 abc\r\n\r\n", false, HttpParse::kBad, "", true},
+      {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", false, HttpParse::kBad, "", true},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", false, HttpParse::kBad, "", true},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", false, HttpParse::kBad, "",
+       true},
+      {"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", false, HttpParse::kBad, "", true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, HttpParse::kBad, "", true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokXX", false, HttpParse::kBad, "", true},
+  }));
+  discovery::HttpResponse response;
+  CAPTURE(c.in);
+  CHECK(discovery::parse_response(c.in, c.ended, &response) == c.parse);
+  if (c.parse == HttpParse::kOk) {
+    CHECK(response.body == c.body);
+    CHECK(response.keep_alive == c.keep);
+    CHECK(response.size == c.in.size());
+  }
+}
+
+TEST_CASE("lists of data servers") {
+  auto update = discovery::parse_members(
+      R"({"generation":41,"reset":true,"instances":[{"instanceId":"s-5b","hostPort":"10.1.0.18:6432","zone":"a",
+      "machineType":"m2","cell":3,"lifecycle":"draining","weight":1.5,"startedAtMs":1767225600123},
+      {"instanceId":"s-6","lifecycle":"removed"}]})");
+  CHECK(update.generation == 41);
+  CHECK(update.reset);
+  REQUIRE(update.members.size() == 2);
+  CHECK(update.members[0].cell == 3);
+  CHECK(update.members[0].lifecycle == discovery::Lifecycle::kDraining);
+  CHECK(update.members[0].started_at_ms == 1767225600123);
+  CHECK(update.members[1].lifecycle == discovery::Lifecycle::kRemoved);
+  for (auto bad :
+       {"", "[]", "{}", R"({"generation":"x","instances":[]})", R"({"generation":1})",
+        R"({"generation":1,"instances":[{}]})", R"({"generation":1,"instances":[{"instanceId":"a"}]})",
+        R"({"generation":1,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"odd"}]})"})
+    CHECK_THROWS_AS(discovery::parse_members(bad), std::invalid_argument);
+}
+
+TEST_CASE("addresses") {
+  for (auto good : {"127.0.0.1:6432", "[::1]:6432", "0.0.0.0:0"}) CHECK(net::parse_address(good));
+  for (auto bad :
+       {"", ":1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:70000", "localhost:1", "::1:5"})
+    CHECK_FALSE(net::parse_address(bad));
+}
+
+TEST_CASE("configurations that are bad are named in one line") {
+  struct Case {
+    const char *text, *named;
+  };
+  auto c = GENERATE(values<Case>({
+      {"", "parse error"},
+      {"[]", "no JSON object"},
+      {R"({"listen":"x","discovery":"127.0.0.1:1","settings":{}})", "listen"},
+      {R"({"listen":"127.0.0.1:1","settings":{}})", "discovery"},
+      {R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"})", "settings"},
+      {R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}})", "RequestClasses"},
+      {R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"xyz","settings":{}})", "seed"},
+      {R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":{"sockets":3},"settings":{}})",
+       "sockets"},
+      {R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{"RequestClasses":[
+          {"Name":"a","Effect":"odd","TargetMs":1,"DeadlineMs":2}]}})",
+       "Effect"},
+      {R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{"RequestClasses":[
+          {"Name":"a","Effect":"pure","TargetMs":9,"DeadlineMs":2}]}})",
+       "aim"},
+  }));
+  try {
+    app::parse_config(c.text);
+    FAIL("accepted: " << c.text);
+  } catch (const app::ConfigError& e) {
+    std::string what = e.what();
+    CAPTURE(what);
+    CHECK(what.find(c.named) != std::string::npos);
+    CHECK(what.find('\n') == std::string::npos);
+  }
+}
+
+TEST_CASE("the outcome table") {
+  using routing::Ending;
+  CHECK(proxy::ending_of_error("25006") == Ending::kMissed);
+  CHECK(proxy::ending_of_error("72000") == Ending::kMissed);
+  CHECK(proxy::ending_of_error("53300") == Ending::kTurnedAway);
+  CHECK(proxy::ending_of_error("XX000") == Ending::kError);
+  CHECK(proxy::ending_of_error("08P01") == Ending::kError);
+  CHECK(proxy::ending_of_break(false) == Ending::kNoConnection);
+  CHECK(proxy::ending_of_break(true) == Ending::kReset);
+  CHECK(proxy::ending_of_timeout(false) == Ending::kNotSent);
+  CHECK(proxy::ending_of_timeout(true) == Ending::kTimedOut);
+  CHECK(proxy::ending_of_cancel(true) == Ending::kCancelled);
+}
+
+TEST_CASE("positions: a known one never later, a required one never earlier") {
+  routing::UnixClock clock(routing::Micros(1'767'225'600'000'000));
+  CHECK(clock.known(1767225600123) <= routing::Micros(123000));
+  CHECK(clock.known_seconds(1767225600.1234567) <= routing::Micros(123457));
+  CHECK(clock.known_seconds(1767225600.1234567) >= routing::Micros(123455));
+  CHECK(clock.required(1767225600123) >= routing::Micros(123000));
+  CHECK(clock.required(1767225600123) < routing::Micros(124000));
+}
+
+}  // namespace linenwinch
--- /dev/null
+++ b/tests/net/rig.h
@@ -0,0 +1,397 @@
+// The one helper of the network tests: a proxy in a thread of its own, and what it talks to, on 127.0.0.1 and
+// ports the system picks. Servers answer by a function that each test gives them; no load is made.
+#pragma once
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <cstring>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "app/config.h"
+#include "net/socket.h"
+#include "pg/message.h"
+#include "proxy/proxy.h"
+
+namespace linenwinch::test {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+inline std::int64_t unix_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// True once `good` holds; false after a time that only a fault can take.
+inline bool soon(const std::function<bool()>& good, Clock::duration patience = 8s) {
+  for (auto end = Clock::now() + patience; Clock::now() < end; std::this_thread::sleep_for(2ms))
+    if (good()) return true;
+  return good();
+}
+
+// A blocking socket.
+class Peer {
+ public:
+  explicit Peer(int fd) : fd_(fd) { setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &kPatience, sizeof kPatience); }
+  static Peer to(int port) {
+    auto address = *net::parse_address("127.0.0.1:" + std::to_string(port));
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address.storage), address.length) == 0);
+    return Peer(fd);
+  }
+  int fd() const { return fd_.get(); }
+  bool send(std::string_view bytes) {
+    while (!bytes.empty()) {
+      auto n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (n <= 0) return false;
+      bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+  }
+  bool more() {  // false: ended, broken, or nothing came in time
+    char chunk[65536];
+    auto n = recv(fd_.get(), chunk, sizeof chunk, 0);
+    if (n <= 0) return false;
+    in.append(chunk, static_cast<std::size_t>(n));
+    return true;
+  }
+  // The next message: its letter and body. Letter 0: none came.
+  std::pair<char, std::string> message() {
+    pg::Frame frame;
+    while (pg::parse_frame(in, 1 << 22, &frame) != pg::Parse::kOk)
+      if (!more()) return {};
+    std::pair<char, std::string> result{frame.type, std::string(frame.body)};
+    in.erase(0, frame.size);
+    return result;
+  }
+  void close() { fd_.reset(); }
+  std::string in;
+
+ private:
+  static constexpr timeval kPatience{10, 0};
+  net::Fd fd_;
+};
+
+// Accepts on a port of its own and serves each connection in a thread, until it goes.
+class Listening {
+ public:
+  explicit Listening(std::function<void(Peer&)> serve) : serve_(std::move(serve)) {
+    std::string error;
+    fd_ = net::listen_on(*net::parse_address("127.0.0.1:0"), &error);
+    REQUIRE(fd_);
+    accepting_ = std::thread([this] {
+      while (!stop_) {
+        pollfd p{fd_.get(), POLLIN, 0};
+        poll(&p, 1, 10);
+        net::Fd fd(accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        if (!fd) continue;
+        std::lock_guard lock(mutex_);
+        raw_.push_back(fd.get());
+        threads_.emplace_back([this, held = std::move(fd)]() mutable {
+          Peer peer(dup(held.get()));
+          serve_(peer);
+          shutdown(held.get(), SHUT_RDWR);
+        });
+      }
+    });
+  }
+  ~Listening() {
+    stop_ = true;
+    accepting_.join();
+    for (int fd : raw_) shutdown(fd, SHUT_RDWR);
+    for (auto& t : threads_) t.join();
+  }
+  int port() const { return net::local_port(fd_.get()); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+
+ private:
+  std::function<void(Peer&)> serve_;
+  net::Fd fd_;
+  std::atomic<bool> stop_{false};
+  std::mutex mutex_;
+  std::vector<int> raw_;
+  std::vector<std::thread> threads_;
+  std::thread accepting_;
+};
+
+struct Reply {
+  enum What { kRow, kError, kSilence, kReset } what = kRow;
+  std::string text = "value";  // the row's value, or the error's code
+  std::int64_t position = 0;   // 0: now
+};
+
+inline std::string row(const std::string& value) {
+  std::string body("\0\1", 2);
+  for (int shift = 24; shift >= 0; shift -= 8)
+    body.push_back(static_cast<char>(value.size() >> shift & 0xff));
+  body += value;
+  auto message = [](char type, const std::string& inner) {
+    auto framed = pg::simple_query(inner);  // same frame, with an end mark too many
+    framed.pop_back();
+    framed[0] = type;
+    auto length = inner.size() + 4;
+    for (int i = 0; i < 4; ++i) framed[1 + i] = static_cast<char>(length >> (24 - 8 * i) & 0xff);
+    return framed;
+  };
+  std::string column("\0\1content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28);
+  return message('T', column) + message('D', body) + pg::command_complete("SELECT 1");
+}
+
+// A data server: primary or replica, answering by `reply`.
+class Server {
+ public:
+  explicit Server(bool primary) : primary_(primary), listening_([this](Peer& peer) { serve(peer); }) {}
+
+  std::function<Reply(const std::string&)> reply = [](const std::string&) { return Reply{}; };
+  std::atomic<int> connections{0}, open{0}, out{0}, most_out{0}, probes{0};
+  std::string address() const { return listening_.address(); }
+  std::vector<std::string> statements() {
+    std::lock_guard lock(mutex_);
+    return statements_;
+  }
+  std::size_t count() { return statements().size(); }
+
+ private:
+  void serve(Peer& peer) {
+    ++connections;
+    ++open;
+    session(peer);
+    --open;
+  }
+  void session(Peer& peer) {
+    pg::FirstMessage first;
+    while (pg::parse_first(peer.in, &first) != pg::Parse::kOk)
+      if (!peer.more()) return;
+    peer.in.erase(0, first.size);
+    peer.send(pg::greeting());
+    while (true) {
+      auto [type, body] = peer.message();
+      if (type != 'Q') return;
+      body.pop_back();
+      if (body == "SHOW usage") {
+        ++probes;
+        peer.send(row("x0=" + std::to_string(unix_ms() / 1000.0) + ",x1=" + (primary_ ? "1" : "0")) +
+                  pg::ready_for_query());
+        continue;
+      }
+      {
+        std::lock_guard lock(mutex_);
+        statements_.push_back(body);
+      }
+      most_out = std::max(most_out.load(), ++out);
+      auto r = !primary_ && body.starts_with("INSERT") ? Reply{Reply::kError, "25006", 0} : reply(body);
+      --out;
+      if (r.what == Reply::kSilence) {
+        while (peer.more()) {
+        }
+        return;
+      }
+      if (r.what == Reply::kReset) return;
+      auto parameter = [](const std::string& name, const std::string& value) {
+        auto framed = pg::command_complete(name + '\0' + value);
+        framed[0] = 'S';
+        return framed;
+      };
+      std::string answer = r.what == Reply::kRow ? row(r.text) : pg::error_response("ERROR", r.text, "no");
+      peer.send(answer + parameter("server_role", primary_ ? "writer" : "reader") +
+                parameter("commit_clock", std::to_string(r.position ? r.position : unix_ms())) +
+                pg::ready_for_query());
+    }
+  }
+
+  bool primary_;
+  std::mutex mutex_;
+  std::vector<std::string> statements_;
+  Listening listening_;
+};
+
+// Discovery: gives the list as it stands, or waits for a newer version.
+class Discovery {
+ public:
+  Discovery() : listening_([this](Peer& peer) { serve(peer); }) {}
+  std::string address() const { return listening_.address(); }
+  void set(const std::string& instances) {
+    std::lock_guard lock(mutex_);
+    instances_ = instances;
+    ++generation_;
+  }
+  std::string list() {
+    std::lock_guard lock(mutex_);
+    return "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[" + instances_ +
+           "]}";
+  }
+  std::atomic<int> calls{0}, breaks{0};  // breaks: so many calls end with the connection cut
+
+ private:
+  void serve(Peer& peer) {
+    while (true) {
+      while (peer.in.find("\r\n\r\n") == std::string::npos)
+        if (!peer.more()) return;
+      int after = -1;
+      if (auto at = peer.in.find("after="); at != std::string::npos) after = std::atoi(&peer.in[at + 6]);
+      peer.in.clear();
+      ++calls;
+      if (breaks > 0) {
+        --breaks;
+        return;
+      }
+      auto newer = [&] {
+        std::lock_guard lock(mutex_);
+        return generation_ > after;
+      };
+      std::string body = soon(newer, 200ms) ? list()
+                                            : "{\"generation\":" + std::to_string(after) +
+                                                  ",\"reset\":false,\"instances\":[]}";
+      if (!peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
+        return;
+    }
+  }
+  std::mutex mutex_;
+  std::string instances_;
+  int generation_ = 1;
+  Listening listening_;
+};
+
+inline std::string entry(const std::string& id, const Server& server, const std::string& lifecycle = "up") {
+  return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + server.address() +
+         "\",\"zone\":\"a\",\"cell\":2,\"lifecycle\":\"" + lifecycle + "\",\"startedAtMs\":0}";
+}
+
+inline std::string config_text(const std::string& discovery, const std::string& known,
+                               const std::string& extra = "") {
+  return R"({"name":"t","listen":"127.0.0.1:0","discovery":")" + discovery +
+         R"(","seed":"1f","limits":{"sockets":200},"known":)" + known + R"(,"settings":{
+    "RequestClasses":[
+      {"Name":"browse","Effect":"pure","TargetMs":500.0,"DeadlineMs":2000.0,"Importance":3.0},
+      {"Name":"own-view","Effect":"pure","TargetMs":500.0,"DeadlineMs":2000.0,"Importance":1.0},
+      {"Name":"book","Effect":"token","Group":"cell","KeyTtlMs":5000.0,"TargetMs":1200.0,"DeadlineMs":5000.0,
+       "Importance":6.0,"LateShare":0.7}],
+    "FamilyInfo":{"Behind":"reject","ReadLevel":["recent","own_writes","update"],"OldestDataMs":[300.0,0.0,0.0],
+      "Positions":true,"WriteMarks":"client","ShowsRole":"off"},
+    "Report":{"How":"on_probe","Fields":["x0","x1","rif"]},"Orgs":[],"Zone":"a","NInstances":1,"StepMs":5.0,
+    "Limits":{"Probes":true,"Cancel":true,"RetryAfter":true,"SecondCopies":false,"MaxAttempts":8,
+      "MaxRetryAfterMs":1000.0,"ConnectTimeoutMs":250.0,"KeepaliveMs":30000.0},
+    "Guarantees":{"AnswerSlackMs":20.0,"DrainGraceMs":1000.0,"FallMs":1500.0,"WarmUpMs":18000.0,
+      "ColdShare":0.17,"TipMultiple":3.0})" +
+         extra + "}}";
+}
+
+struct Answer {
+  char end = 0;  // Z, or 0 when the connection ended first
+  bool row = false;
+  std::string value, code, detail, tag;
+};
+
+class Client : public Peer {
+ public:
+  explicit Client(int port, bool greeted = true) : Peer(Peer::to(port)) {
+    if (!greeted) return;
+    send(pg::startup_message("backend", "store"));
+    REQUIRE(answer().end == 'Z');
+  }
+  Answer answer() {
+    Answer a;
+    while (true) {
+      auto [type, body] = message();
+      if (type == 0) return a;
+      if (type == 'Z') {
+        a.end = 'Z';
+        return a;
+      }
+      if (type == 'D') {
+        auto value = pg::parse_single_column(body);
+        a.row = value.has_value();
+        a.value = value.value_or("");
+      }
+      if (type == 'C') a.tag = body.c_str();
+      if (type == 'I') a.tag = "empty";
+      if (type != 'E') continue;
+      auto fields = pg::parse_error(body);
+      REQUIRE(fields);
+      a.code = fields->code;
+      a.detail = fields->detail;
+    }
+  }
+  Answer ask(const std::string& sql) {
+    send(pg::simple_query(sql));
+    return answer();
+  }
+};
+
+inline std::string read_sql(const std::string& id, int d = 1500, const std::string& rest = "") {
+  return "SELECT content FROM kv WHERE name = 'k1' /* id=" + id + ",c=browse,d=" + std::to_string(d) +
+         ",cluster=2" + rest + " */";
+}
+inline std::string write_sql(const std::string& id, int d = 1500) {
+  return "INSERT INTO kv (name, content) VALUES ('k1', '\\x9f03') RETURNING content /* id=" + id +
+         ",c=book,d=" + std::to_string(d) + ",k=77,cluster=2 */";
+}
+
+// A set of one primary and one replica, discovery, and the proxy.
+struct Rig {
+  explicit Rig(std::size_t descriptors = 200, const std::string& extra = "") {
+    discovery.set(entry("s-p", primary) + "," + entry("s-r", replica));
+    config = app::parse_config(config_text(discovery.address(), discovery.list(), extra));
+    config.sockets = descriptors;
+    std::promise<int> started;
+    stop_ = net::Fd(eventfd(0, EFD_NONBLOCK));
+    runs_ = std::thread([this, &started] {
+      net::Loop loop;
+      routing::Facade facade(config.settings, config.seed, routing::UnixClock::measured(),
+                             [](const std::string&) {});
+      proxy::ProxyOptions options{config.listen, config.discovery, config.sockets, config.pool, config.known};
+      proxy::Proxy proxy(loop, facade, options, [](net::Level, const std::string&) {});
+      struct Told : net::Handler {
+        std::function<void()> call;
+        void on_ready(std::uint32_t events) override {
+          if (events & EPOLLIN) call();
+        }
+      } told;
+      told.call = [&] { gently ? proxy.shut_down() : loop.stop(); };
+      loop.add(stop_.get(), &told);
+      started.set_value(proxy.port());
+      proxy.run();
+      ended = true;
+      loop.remove(stop_.get(), &told);
+    });
+    port = started.get_future().get();
+  }
+  ~Rig() {
+    if (!gently) tell();
+    runs_.join();
+  }
+  void tell() {
+    std::uint64_t one = 1;
+    REQUIRE(write(stop_.get(), &one, sizeof one) == sizeof one);
+  }
+  void stop_gently() {
+    gently = true;
+    tell();
+  }
+
+  Server primary{true}, replica{false};
+  Discovery discovery;
+  app::Config config;
+  int port = 0;
+  std::atomic<bool> gently{false}, ended{false};
+
+ private:
+  net::Fd stop_;
+  std::thread runs_;
+};
+
+}  // namespace linenwinch::test
--- /dev/null
+++ b/tests/net/rules_test.cpp
@@ -0,0 +1,243 @@
+// One test a rule, with real sockets.
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "app/logger.h"
+#include "rig.h"
+
+namespace linenwinch::test {
+
+TEST_CASE("clients: a query right behind the startup, SSLRequest first, split into single bytes") {
+  Rig rig;
+  Client client(rig.port, false);
+  std::string ssl("\0\0\0\x08\x04\xd2\x16\x2f", 8);
+  client.send(ssl);
+  REQUIRE(client.more());
+  CHECK(client.in == "N");
+  client.in.clear();
+  auto all = pg::startup_message("backend", "store") + pg::simple_query(read_sql("a1"));
+  for (char c : all) client.send(std::string_view(&c, 1));
+  CHECK(client.answer().end == 'Z');
+  auto answer = client.answer();
+  CHECK(answer.row);
+  CHECK(answer.value == "value");
+}
+
+TEST_CASE("clients: pipelined commands are answered in order, each once") {
+  Rig rig;
+  rig.primary.reply = rig.replica.reply = [](const std::string& sql) {
+    return Reply{Reply::kRow, sql.substr(sql.find("id="), 5), 0};
+  };
+  Client client(rig.port);
+  client.send(pg::simple_query(read_sql("p1")) + pg::simple_query("SET x = 1") + pg::simple_query("") +
+              pg::simple_query(read_sql("p2")) + pg::simple_query("DELETE FROM kv"));
+  CHECK(client.answer().value == "id=p1");
+  CHECK(client.answer().tag == "SET");
+  CHECK(client.answer().tag == "empty");
+  CHECK(client.answer().value == "id=p2");
+  CHECK(client.answer().code == "42601");
+}
+
+TEST_CASE(
+    "clients: what is malformed gets an SQLSTATE and never reaches a server; bad bytes end one connection") {
+  Rig rig;
+  Client client(rig.port), other(rig.port);
+  for (std::string sql : {"SELECT 1", "select content from kv", "SELECT content FROM kv WHERE name = 'k1'",
+                          "SELECT content FROM kv WHERE name = 'k1' /* id=1,c=browse,d=x,cluster=2 */",
+                          "SELECT content FROM kv WHERE name = 'k1' /* id=1,c=other,d=9,cluster=2 */",
+                          "SELECT content FROM kv WHERE name = 'k1' /* id=1,c=book,d=9,k=1,cluster=2 */",
+                          "INSERT INTO kv (name, content) VALUES ('k', 'v') RETURNING content /* "
+                          "id=1,c=book,d=9,cluster=2 */"}) {
+    auto answer = client.ask(sql);
+    CHECK(answer.end == 'Z');
+    CHECK(answer.code.size() == 5);
+    CHECK_FALSE(answer.code == "08P01");
+  }
+  auto parse = pg::simple_query("");
+  parse[0] = 'P';
+  auto sync = std::string("S\0\0\0\4", 5);
+  client.send(parse + sync);
+  CHECK(client.answer().code == "0A000");
+  client.send("\x01garbage that is no message");
+  auto last = client.answer();
+  CHECK(last.code == "08P01");
+  CHECK(last.end == 0);
+  CHECK(other.ask(read_sql("b1")).row);
+  CHECK(rig.primary.count() + rig.replica.count() == 1);
+}
+
+TEST_CASE("servers: statement, id and k pass on unchanged, d tells our own wait") {
+  Rig rig;
+  Client client(rig.port);
+  CHECK(client.ask(write_sql("w1", 1500)).row);
+  REQUIRE(rig.primary.count() == 1);
+  auto got = rig.primary.statements()[0], sent = write_sql("w1", 1500);
+  auto at = sent.find("d=1500") + 2;
+  CHECK(got.substr(0, at) == sent.substr(0, at));
+  auto end = got.find(",k=77");
+  CHECK(got.substr(end) == sent.substr(at + 4));
+  int wait = std::stoi(got.substr(at, end - at));
+  CHECK(wait > 0);
+  CHECK(wait < 1500);
+}
+
+TEST_CASE("effects: a write that may have run is never refused, nor sent twice at once, nor over 8 times") {
+  Rig rig;
+  rig.primary.reply = [](const std::string&) { return Reply{Reply::kReset, "", 0}; };
+  rig.replica.reply = [](const std::string&) { return Reply{Reply::kError, "25006", 0}; };
+  Client client(rig.port);
+  auto answer = client.ask(write_sql("w2", 800));
+  CHECK(answer.end == 'Z');
+  CHECK_FALSE(answer.row);
+  CHECK_FALSE(answer.code == "53300");
+  CHECK_FALSE(answer.code == "57P03");
+  CHECK(rig.primary.most_out <= 1);
+  CHECK(rig.primary.count() >= 1);
+  CHECK(rig.primary.count() + rig.replica.count() <= 8);
+}
+
+TEST_CASE("answers: a refusal comes at once and tells in D when to come back") {
+  Rig rig;
+  rig.discovery.set("");  // every server is gone
+  Client client(rig.port);
+  REQUIRE(soon([&] { return rig.discovery.calls >= 2; }));
+  auto answer = client.ask(read_sql("r1", 1900));
+  CHECK(answer.code == "53300");
+  CHECK(std::stoi(answer.detail) > 0);
+  CHECK(rig.primary.count() + rig.replica.count() == 0);
+}
+
+TEST_CASE("answers: with servers that stay silent, the answer still comes before the client gives up") {
+  Rig rig;
+  rig.primary.reply = rig.replica.reply = [](const std::string&) { return Reply{Reply::kSilence, "", 0}; };
+  Client client(rig.port);
+  auto before = Clock::now();
+  auto answer = client.ask(read_sql("s1", 1500));
+  CHECK(Clock::now() - before < 1500ms);
+  CHECK(answer.end == 'Z');
+  CHECK_FALSE(answer.code.empty());
+}
+
+TEST_CASE("clients: one that leaves takes its attempt with it") {
+  Rig rig;
+  rig.primary.reply = rig.replica.reply = [](const std::string&) { return Reply{Reply::kSilence, "", 0}; };
+  Client client(rig.port);
+  client.send(pg::simple_query(write_sql("g1", 60000)));
+  REQUIRE(soon([&] { return rig.primary.count() == 1; }));
+  client.close();
+  CHECK(soon([&] { return rig.primary.open == 0; }));
+}
+
+TEST_CASE("reads: one turned away as too far behind goes on to another server") {
+  Rig rig;
+  rig.replica.reply = [](const std::string&) { return Reply{Reply::kError, "72000", unix_ms() - 5000}; };
+  Client client(rig.port);
+  auto answer = client.ask(read_sql("f1", 1900));
+  CHECK(answer.row);
+  CHECK(rig.primary.count() == 1);
+}
+
+TEST_CASE("draining: no new work later than 1 s after word of it") {
+  Rig rig;
+  Client client(rig.port);
+  REQUIRE(client.ask(read_sql("d0")).row);
+  rig.discovery.set(entry("s-p", rig.primary) + "," + entry("s-r", rig.replica, "draining"));
+  auto told = rig.discovery.calls.load();
+  REQUIRE(soon([&] { return rig.discovery.calls >= told + 2; }));
+  std::this_thread::sleep_for(1s);
+  auto before = rig.replica.count();
+  for (int i = 1; i <= 5; ++i) CHECK(client.ask(read_sql("d" + std::to_string(i), 1900)).row);
+  CHECK(rig.replica.count() == before);
+}
+
+TEST_CASE("values: 64 KiB pass whole, also to a client that reads late") {
+  Rig rig;
+  std::string value(65536, '\0');
+  for (std::size_t i = 0; i < value.size(); ++i) value[i] = static_cast<char>(i * 7);
+  rig.primary.reply = rig.replica.reply = [&](const std::string&) { return Reply{Reply::kRow, value, 0}; };
+  Client client(rig.port);
+  std::string all;
+  for (int i = 0; i < 200; ++i) all += pg::simple_query(read_sql("v" + std::to_string(i), 8000));
+  client.send(all);
+  CHECK(soon([&] { return rig.primary.count() + rig.replica.count() >= 10; }));
+  for (int i = 0; i < 200; ++i) {
+    auto answer = client.answer();
+    REQUIRE(answer.row);
+    REQUIRE(answer.value == value);
+  }
+  std::string big = "INSERT INTO kv (name, content) VALUES ('k1', '\\x" + std::string(131072, 'a') +
+                    "') RETURNING content /* id=v1,c=book,d=4000,k=7,cluster=2 */";
+  CHECK(client.ask(big).value == value);
+}
+
+TEST_CASE("connections: reused between requests, and closed before the server's idle limit") {
+  Rig rig(200, R"(,"Extra":{"New":1})");
+  Client client(rig.port);
+  for (int i = 0; i < 6; ++i) REQUIRE(client.ask(write_sql("c" + std::to_string(i))).row);
+  CHECK(rig.primary.connections <= 2);  // a probe may have needed the second
+  CHECK(rig.config.pool.idle < 30s);
+}
+
+TEST_CASE("discovery: cut connections are made again, and a whole list replaces the old one") {
+  Rig rig;
+  rig.discovery.breaks = 3;
+  REQUIRE(soon([&] { return rig.discovery.breaks == 0; }));
+  Server fresh(true);
+  rig.discovery.set(entry("s-n", fresh));
+  Client client(rig.port);
+  CHECK(soon([&] { return client.ask(read_sql("n1", 400)).row && fresh.count() > 0; }));
+}
+
+TEST_CASE("descriptors: idle clients make room for new ones") {
+  Rig rig(40);
+  std::vector<std::unique_ptr<Client>> idle;
+  for (int i = 0; i < 40; ++i) idle.push_back(std::make_unique<Client>(rig.port));
+  CHECK(idle.back()->ask(read_sql("e1", 1900)).row);
+}
+
+TEST_CASE("stopping: what was taken is answered, new connections too, then it ends by itself") {
+  Rig rig;
+  std::atomic<bool> release{false};
+  rig.primary.reply = [&](const std::string&) {
+    soon([&] { return release.load(); });
+    return Reply{};
+  };
+  Client client(rig.port), idle(rig.port);
+  client.send(pg::simple_query(write_sql("t1", 9000)));
+  REQUIRE(soon([&] { return rig.primary.count() == 1; }));
+  rig.stop_gently();
+  Client late(rig.port);
+  CHECK(late.ask(read_sql("t2")).row);
+  CHECK_FALSE(idle.more());  // closed between requests
+  CHECK_FALSE(rig.ended);
+  release = true;
+  CHECK(client.answer().row);
+  CHECK(soon([&] { return rig.ended.load(); }));
+}
+
+TEST_CASE("readiness: the empty query waits until a server is known") {
+  Rig rig;
+  auto text = config_text(rig.discovery.address(), R"({"generation":0,"reset":true,"instances":[]})");
+  auto config = app::parse_config(text);
+  net::Loop loop;
+  routing::Facade facade(config.settings, 1, routing::UnixClock::measured(), [](const std::string&) {});
+  CHECK_FALSE(facade.ready());
+  facade.update(loop.now(), discovery::parse_members(rig.discovery.list()));
+  CHECK(facade.ready());
+}
+
+TEST_CASE("logging: a pipe that nobody reads blocks nothing, and a flood is cut") {
+  int ends[2];
+  REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
+  net::Fd out(ends[0]), in(ends[1]);
+  fcntl(in.get(), F_SETPIPE_SZ, 4096);
+  app::Logger logger("t", in.get());
+  for (int i = 0; i < 1000; ++i) logger.write(net::Level::kInfo, std::string(300, 'x') + "\nsecond line");
+  char got[65536];
+  auto n = read(out.get(), got, sizeof got);
+  REQUIRE(n > 0);
+  std::string text(got, static_cast<std::size_t>(n));
+  CHECK(text.find("?second line\n") != std::string::npos);
+}
+
+}  // namespace linenwinch::test
--- /dev/null
+++ b/tests/proxy_test.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# The proxy as a process: its sub-commands, and one clear line for whatever is wrong on the command line.
+proxy=$1
+unset NODE_CONFIG
+failed=0
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+bad() { # name, expected text on standard error, arguments...
+  name=$1 expected=$2
+  shift 2
+  if message=$(timeout 10 "$proxy" "$@" 2>&1 >/dev/null); then echo "FAILED $name: exit code 0"; failed=1; fi
+  case "$message" in *"$expected"*) ;; *) echo "FAILED $name: $message"; failed=1 ;; esac
+  [ "$(printf '%s\n' "$message" | wc -l)" -eq 1 ] || { echo "FAILED $name: more than one line"; failed=1; }
+}
+"$proxy" version | grep -q '^linenwinch [0-9]' || { echo "FAILED version"; failed=1; }
+"$proxy" --help | grep -q serve || { echo "FAILED help"; failed=1; }
+echo '{"listen":"nowhere"}' >"$folder/bad.json"
+bad 'no command' 'no command'
+bad 'an unknown command' 'unknown command' sing
+bad 'an unknown option' 'sing' serve --sing
+bad 'no configuration' 'NODE_CONFIG' serve
+bad 'a missing file' 'cannot be read' serve --config "$folder/none.json"
+bad 'a bad configuration' "listen is no address: 'nowhere'" serve --config "$folder/bad.json"
+bad 'a bad configuration, only checked' 'bad.json' check --config "$folder/bad.json"
+[ $failed -eq 0 ] && echo "proxy: all cases as expected"
+exit $failed
