--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -864,7 +864,8 @@
   }
 
   std::vector<Action> handle(Micros at, const std::vector<Event>& events) {
-    paused = timerSet && at - tickAt > quiet ? at - now : Micros(0);
+    // What is fed at one moment may come in several calls: the pause before it is the same for all of them.
+    if (at > now) paused = timerSet && at - tickAt > quiet ? at - now : Micros(0);
     now = std::max(now, at);
     out.clear();
     bool ticked = false;
--- a/src/net/buffer.cpp
+++ b/src/net/buffer.cpp
@@ -44,7 +44,7 @@
   auto push = [&](std::string_view part) {
     if (!part.empty() && count < iov.size()) iov[count++] = {const_cast<char*>(part.data()), part.size()};
   };
-  push(std::string_view(bytes_).substr(start_));
+  push(bytes_);
   for (auto part : parts) push(part);
   std::size_t first = 0;
   while (first < count) {
@@ -65,7 +65,6 @@
   std::string rest;
   for (; first < count; ++first) rest.append(static_cast<char*>(iov[first].iov_base), iov[first].iov_len);
   bytes_ = std::move(rest);
-  start_ = 0;
   return true;
 }
 
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -24,17 +24,15 @@
 
 class OutBuffer {
  public:
-  bool empty() const { return start_ == bytes_.size(); }
-  std::size_t size() const { return bytes_.size() - start_; }
+  bool empty() const { return bytes_.empty(); }
+  std::size_t size() const { return bytes_.size(); }
   // Writes what is queued and then the parts with one writev, and keeps a copy of what the socket did not
   // take. False: the connection is broken.
   bool write(int fd, std::initializer_list<std::string_view> parts);
   bool flush(int fd) { return write(fd, {}); }
-  void append(std::string_view bytes) { bytes_.append(bytes); }
 
  private:
   std::string bytes_;
-  std::size_t start_ = 0;
 };
 
 }  // namespace linenwinch::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -47,7 +47,7 @@
 
 int Loop::wait_ms() const {
   if (timers_.empty()) return 1000;
-  auto left = (timers_.begin()->first.first - monotonic_now()).count();
+  auto left = (timers_.begin()->first.first - now_).count();
   return static_cast<int>(std::clamp<std::int64_t>((left + 999) / 1000, 0, 1000));
 }
 
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -66,6 +66,11 @@
                 : first->code == kCancelCode ? Opening::kCancel
                 : first->code >> 16 == 3     ? Opening::kStartup
                                              : Opening::kOther;
+  if (first->kind == Opening::kCancel) {
+    if (length != 16) return Parse::kBad;
+    first->number = read32(in, 8);
+    first->secret = read32(in, 12);
+  }
   if (first->kind != Opening::kStartup) return Parse::kOk;
   // Pairs of strings, then one empty string.
   auto rest = in.substr(8, length - 8);
@@ -138,12 +143,17 @@
 
 std::string ready_for_query() { return message('Z', "I"); }
 
-std::string greeting() {
+std::string greeting(std::uint32_t number, std::uint32_t secret) {
+  std::string key;
+  put32(key, number);
+  put32(key, secret);
   return message('R', std::string_view("\0\0\0\0", 4)) + parameter("server_version", "15.0") +
          parameter("client_encoding", "UTF8") + parameter("standard_conforming_strings", "on") +
-         message('K', std::string_view("\0\0\0\1\0\0\0\0", 8)) + ready_for_query();
+         message('K', key) + ready_for_query();
 }
 
+std::string negotiate_version() { return message('v', std::string_view("\0\0\0\0\0\0\0\0", 8)); }
+
 std::string command_complete(std::string_view tag) {
   std::string body(tag);
   body.push_back('\0');
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -23,6 +23,7 @@
 struct FirstMessage {
   Opening kind = Opening::kOther;
   std::uint32_t code = 0;
+  std::uint32_t number = 0, secret = 0;  // kCancel: the session it means
   std::size_t size = 0;
 };
 Parse parse_first(std::string_view in, FirstMessage* first);
@@ -49,7 +50,9 @@
 std::string startup_message(std::string_view user, std::string_view database);
 std::string simple_query(std::string_view text);
 std::string ready_for_query();
-std::string greeting();  // AuthenticationOk, the parameters drivers ask for, ReadyForQuery
+// AuthenticationOk, the parameters drivers ask for, what to cancel by, ReadyForQuery.
+std::string greeting(std::uint32_t number, std::uint32_t secret);
+std::string negotiate_version();  // to a client that asks for more than 3.0
 std::string command_complete(std::string_view tag);
 std::string empty_query_response();
 std::string error_response(std::string_view severity, std::string_view code, std::string_view message,
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -12,10 +12,10 @@
 using namespace std::chrono_literals;
 
 // A value of 64 KiB takes 128 KiB as hexadecimal digits; this leaves room to spare.
-constexpr std::size_t kLongestMessage = 512 * 1024;
+constexpr std::size_t kLongestMessage = 192 * 1024;
 constexpr std::size_t kReadCap =
-    kLongestMessage + 64 * 1024;                // pipelined commands wait in the kernel beyond it
-constexpr std::size_t kWriteCap = 1024 * 1024;  // a client that does not read its answers gets no more
+    kLongestMessage + 64 * 1024;               // pipelined commands wait in the kernel beyond it
+constexpr std::size_t kWriteCap = 256 * 1024;  // a client that does not read its answers gets no more
 // `d` runs from the client's send, and the answer takes a while to arrive.
 constexpr Micros kMargin = 20ms;
 
@@ -28,8 +28,15 @@
 
 }  // namespace
 
-ClientSession::ClientSession(net::Loop& loop, Dispatcher& dispatcher, SessionOwner& owner, net::Fd fd)
-    : loop_(loop), dispatcher_(dispatcher), owner_(owner), fd_(std::move(fd)), idle_since_(loop.now()) {}
+ClientSession::ClientSession(net::Loop& loop, Dispatcher& dispatcher, SessionOwner& owner, net::Fd fd,
+                             std::uint32_t number, std::uint32_t secret)
+    : loop_(loop),
+      dispatcher_(dispatcher),
+      owner_(owner),
+      fd_(std::move(fd)),
+      number_(number),
+      secret_(secret),
+      idle_since_(loop.now()) {}
 
 ClientSession::~ClientSession() {
   if (fd_) loop_.remove(fd_.get(), this);
@@ -110,7 +117,8 @@
     case pg::Opening::kGssEnc:
       write({"N"});
       break;
-    case pg::Opening::kCancel:  // no statement here can be named by it; PostgreSQL answers none either
+    case pg::Opening::kCancel:  // it gets no answer itself
+      owner_.cancel_requested(first.number, first.secret);
       close();
       return false;
     case pg::Opening::kOther:
@@ -118,7 +126,7 @@
       return false;
     case pg::Opening::kStartup:
       started_ = true;
-      write({pg::greeting()});
+      write({first.code & 0xffff ? pg::negotiate_version() : "", pg::greeting(number_, secret_)});
       break;
   }
   if (fd_) in_.consume(first.size);
@@ -238,6 +246,13 @@
   answered();
 }
 
+// Asked for by the client on another connection. A request that is not out any more is not touched.
+void ClientSession::cancel() {
+  if (request_ == 0) return;
+  dispatcher_.leave(request_);
+  fail("canceled on the client's request");
+}
+
 void ClientSession::answered() {
   if (!fd_) return;  // writing found it broken
   request_ = 0;
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -17,11 +17,13 @@
  public:
   virtual ~SessionOwner() = default;
   virtual void session_closed(ClientSession* session) = 0;  // its descriptor is free already
+  virtual void cancel_requested(std::uint32_t number, std::uint32_t secret) = 0;
 };
 
 class ClientSession : public net::Handler, public ClientPort {
  public:
-  ClientSession(net::Loop& loop, Dispatcher& dispatcher, SessionOwner& owner, net::Fd fd);
+  ClientSession(net::Loop& loop, Dispatcher& dispatcher, SessionOwner& owner, net::Fd fd,
+                std::uint32_t number, std::uint32_t secret);
   ~ClientSession() override;
 
   bool start();  // false: it cannot be watched
@@ -30,6 +32,10 @@
   // Between requests: nothing taken, nothing half read, nothing left to write.
   bool idle() const { return request_ == 0 && !waiting_ && in_.view().empty() && out_.empty(); }
   bool busy() const { return request_ != 0 || !out_.empty(); }
+  // What a CancelRequest names this session by.
+  std::uint32_t number() const { return number_; }
+  std::uint32_t secret() const { return secret_; }
+  void cancel();
   Micros idle_since() const { return idle_since_; }
   void close();
   void close_when_idle() { closing_ = true; }  // after what it still has to answer
@@ -56,6 +62,7 @@
   Dispatcher& dispatcher_;
   SessionOwner& owner_;
   net::Fd fd_;
+  std::uint32_t number_, secret_;
   net::InBuffer in_;
   net::OutBuffer out_;
   bool started_ = false, skipping_ = false, waiting_ = false, closing_ = false, processing_ = false;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,6 +1,7 @@
 #include "proxy/proxy.h"
 
 #include <fmt/format.h>
+#include <sys/random.h>
 
 #include <cerrno>
 #include <cstring>
@@ -14,6 +15,8 @@
 // After the word to stop, new connections keep coming for up to 0.4 s and clients keep using theirs. They are
 // served as before until this long has passed; then each connection is closed between requests.
 constexpr Micros kServeOn = 500ms, kLeast = 700ms;
+// By now every request has had its answer; a client that does not read it does not keep the proxy up.
+constexpr Micros kMost = 15s;
 // Standard streams, epoll, the signals, the listener, discovery, the log: and some to spare.
 constexpr std::size_t kOwnDescriptors = 16;
 
@@ -60,6 +63,11 @@
   loop_.run([this] { end_of_turn(); });
 }
 
+void Proxy::cancel_requested(std::uint32_t number, std::uint32_t secret) {
+  for (auto& [session, owned] : sessions_)
+    if (session->number() == number && session->secret() == secret) return session->cancel();
+}
+
 std::size_t Proxy::descriptors_in_use() const { return loop_.watched() + kOwnDescriptors; }
 
 void Proxy::accept_all() {
@@ -78,9 +86,17 @@
         accept_again_ = true;
         break;
       }
-      continue;  // a client that has gone before it was accepted
+      // A client that went before it was accepted takes only itself along; anything else could repeat for
+      // ever.
+      if (error == EMFILE || error == ENFILE || error == ECONNABORTED || error == EINTR || error == EPROTO)
+        continue;
+      accept_again_ = true;
+      break;
     }
-    auto session = std::make_unique<ClientSession>(loop_, dispatcher_, *this, std::move(fd));
+    std::uint32_t secret = 0;
+    if (getrandom(&secret, sizeof secret, GRND_NONBLOCK) != sizeof secret) secret = ~next_number_;
+    auto session =
+        std::make_unique<ClientSession>(loop_, dispatcher_, *this, std::move(fd), next_number_++, secret);
     if (!session->start()) continue;
     if (stopping_since_ && loop_.now() - *stopping_since_ >= kServeOn) session->close_when_idle();
     sessions_.emplace(session.get(), std::move(session));
@@ -125,7 +141,7 @@
   stopping_since_ = loop_.now();
   log_(net::Level::kInfo, fmt::format("told to stop: {} clients, {} requests open", sessions_.size(),
                                       dispatcher_.open_requests()));
-  for (auto after : {kServeOn, kLeast}) loop_.at(loop_.now() + after, [] {});
+  for (auto after : {kServeOn, kLeast, kMost}) loop_.at(loop_.now() + after, [] {});
 }
 
 void Proxy::close_idle_clients() {
@@ -141,7 +157,7 @@
   if (past < kLeast) return;
   // Whoever has not even sent a whole request by now waits for nothing.
   for (auto* session : all)
-    if (sessions_.count(session) && !session->busy()) session->close();
+    if (sessions_.count(session) && (!session->busy() || past >= kMost)) session->close();
   if (!sessions_.empty()) return;
   auto& c = dispatcher_.counters();
   log_(net::Level::kInfo,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -27,6 +27,7 @@
   void shut_down();  // finishes what was taken; run() returns after that
   int port() const;
   void session_closed(ClientSession* session) override;
+  void cancel_requested(std::uint32_t number, std::uint32_t secret) override;
 
  private:
   class Listener : public net::Handler {
@@ -56,6 +57,7 @@
   std::vector<std::unique_ptr<ClientSession>> closed_;
   std::optional<Micros> stopping_since_;
   std::uint64_t without_descriptor_ = 0;
+  std::uint32_t next_number_ = 1;
 };
 
 }  // namespace linenwinch::proxy
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -13,7 +13,7 @@
 
 using routing::Ending;
 
-constexpr std::size_t kLongestMessage = 1024 * 1024;  // far above any value allowed here
+constexpr std::size_t kLongestMessage = 192 * 1024;  // a value of 64 KiB takes 128 as hexadecimal digits
 constexpr std::size_t kCap = 2 * kLongestMessage;
 constexpr std::string_view kUser = "backend", kDatabase = "store", kProbe = "SHOW usage";
 
@@ -35,9 +35,8 @@
   if (fd_) pool_.loop_.remove(fd_.get(), this);
 }
 
-bool ServerConnection::open(const net::Address& address) {
-  int error = 0;
-  fd_ = net::start_connect(address, &error);
+bool ServerConnection::open(const net::Address& address, int* error) {
+  fd_ = net::start_connect(address, error);
   if (fd_ && pool_.loop_.add(fd_.get(), this)) return true;
   fd_.reset();
   return false;
@@ -304,7 +303,11 @@
   }
   auto made = std::make_unique<ServerConnection>(*this, name);
   auto* connection = made.get();
-  if (!connection->open(*server.address)) return ended_unsent(name, job, Ending::kNoConnection);
+  int error = 0;
+  if (!connection->open(*server.address, &error)) {
+    bool ours = error == EMFILE || error == ENFILE;  // our own want of descriptors says nothing of the server
+    return ended_unsent(name, job, ours ? Ending::kNotSent : Ending::kNoConnection);
+  }
   all_[connection] = std::move(made);
   if (!job.probe) out_[job.request] = connection;
   connection->begin(job);
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -46,7 +46,7 @@
     std::size_t at = 0, size = 0;
   };
 
-  bool open(const net::Address& address);
+  bool open(const net::Address& address, int* error);
   bool begin(const Job& job);  // writes it, or connects first; false: broken before a byte went out
   bool ready();
   void read_frames();
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -390,6 +390,17 @@
   EXPECT_TRUE(only<Probe>(actions).empty()) << "nobody was silent";
 }
 
+// A proxy feeds one event a call: only the first call of a turn knew of the pause, and requests come last.
+TEST_F(Trio, APauseCountsForEveryCallOfTheSameMoment) {
+  auto sends = only<Send>(router.handle(10s + 50ms, {request(1, kAny, 12s + 50ms)}));
+  ASSERT_EQ(sends.size(), 1u);
+  auto late = outcome(sends[0], 0, Status::Success, Role::Replica);
+  late.taken = 20ms;
+  router.handle(11s + 550ms, {late});
+  auto actions = router.handle(11s + 550ms, {request(2, kAny, 12s + 150ms)});
+  EXPECT_EQ(only<Refuse>(actions).size(), 1u) << "came 1.4 s ago, wanted within 0.4";
+}
+
 TEST(Settings, ImpossibleOnesAreRejectedByName) {
   auto rejects = [](auto change, const char* name) {
     auto s = settings();
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -50,6 +50,7 @@
       {"\0\0\0\x08\x04\xd2\x16\x2f"s, Parse::kOk, pg::Opening::kSsl},
       {"\0\0\0\x08\x04\xd2\x16\x30"s, Parse::kOk, pg::Opening::kGssEnc},
       {"\0\0\0\x10\x04\xd2\x16\x2e\0\0\0\0\0\0\0\0"s, Parse::kOk, pg::Opening::kCancel},
+      {"\0\0\0\x0c\x04\xd2\x16\x2e\0\0\0\0"s, Parse::kBad, pg::Opening::kCancel},
       {"\0\0\0\x08\0\2\0\0"s, Parse::kOk, pg::Opening::kOther},
       {"\0\0\0\x09\0\3\0\0\0"s, Parse::kOk, pg::Opening::kStartup},
       {"\0\0\0\x0d\0\3\0\0a\0b\0\0"s, Parse::kOk, pg::Opening::kStartup},
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -177,7 +177,7 @@
     while (pg::parse_first(peer.in, &first) != pg::Parse::kOk)
       if (!peer.more()) return;
     peer.in.erase(0, first.size);
-    peer.send(pg::greeting());
+    peer.send(pg::greeting(1, 2));
     while (true) {
       auto [type, body] = peer.message();
       if (type != 'Q') return;
