Keep positions and start times in range, whatever a peer writes

Seen by reading: UnixClock multiplied any number by 1000 and read_members cast any double, so a commit_clock, an `after` or a startedAtMs beyond all sense was undefined behaviour, which the sanitizers end the process for. Both are brought to the edge of their range.

--- a/src/discovery/members.cpp
+++ b/src/discovery/members.cpp
@@ -1,5 +1,6 @@
 #include "discovery/members.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -29,7 +30,7 @@
     m.zone = entry.value("zone", "");
     m.cell = entry.value("cell", std::int64_t{0});
     m.weight = entry.value("weight", 1.0);
-    m.started_at_ms = static_cast<std::int64_t>(entry.value("startedAtMs", 0.0));
+    m.started_at_ms = static_cast<std::int64_t>(std::clamp(entry.value("startedAtMs", 0.0), 0.0, 1e14));
     update.members.push_back(std::move(m));
   }
   return update;
--- a/src/routing/unix_clock.h
+++ b/src/routing/unix_clock.h
@@ -31,14 +31,19 @@
   }
 
   // A position that a server is known to have reached: never later than it was.
-  Micros known(std::int64_t unix_ms) const { return Micros(unix_ms * 1000) - distance_; }
+  Micros known(std::int64_t unix_ms) const { return Micros(sane(unix_ms) * 1000) - distance_; }
   Micros known_seconds(double unix_s) const {
     return Micros(static_cast<std::int64_t>(std::floor(unix_s * 1e6))) - distance_;
   }
   // A position that a read must see: never earlier than it is (it comes rounded up to a millisecond).
-  Micros required(std::int64_t unix_ms) const { return Micros(unix_ms * 1000 + 1) - distance_; }
+  Micros required(std::int64_t unix_ms) const { return Micros(sane(unix_ms) * 1000 + 1) - distance_; }
 
  private:
+  // Peers may write any number: what lies outside some thousand years is brought to their edge.
+  static std::int64_t sane(std::int64_t unix_ms) {
+    return std::clamp<std::int64_t>(unix_ms, 0, 100'000'000'000'000);
+  }
+
   Micros distance_;
 };
 
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -223,6 +223,12 @@
     CHECK_THROWS_AS(discovery::parse_members(bad), std::invalid_argument);
 }
 
+TEST_CASE("lists of data servers: a start time beyond all sense stays in range") {
+  auto odd = discovery::parse_members(
+      R"({"generation":1,"instances":[{"instanceId":"a","hostPort":"h:1","startedAtMs":1e300}]})");
+  CHECK(odd.members[0].started_at_ms > 0);
+}
+
 TEST_CASE("addresses") {
   for (auto good : {"127.0.0.1:6432", "[::1]:6432", "0.0.0.0:0"}) CHECK(net::parse_address(good));
   for (auto bad :
