Test values that break off, sends decided too late, and SIGTERM on the process

Guards that had no test yet. A value that breaks off halfway is never passed on and its read goes on elsewhere; a send whose client left before it was fetched leaves its server's count (without that, the new test fails); the process ends with 0 on SIGTERM.

--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -129,7 +129,7 @@
 };
 
 struct Reply {
-  enum What { kRow, kError, kSilence, kReset } what = kRow;
+  enum What { kRow, kError, kSilence, kReset, kHalf } what = kRow;
   std::string text = "value";  // the row's value, or the error's code
   std::int64_t position = 0;   // 0: now
 };
@@ -201,6 +201,11 @@
         return;
       }
       if (r.what == Reply::kReset) return;
+      if (r.what == Reply::kHalf) {  // the value's first half, then the connection ends
+        auto whole = row(r.text);
+        peer.send(whole.substr(0, whole.size() / 2));
+        return;
+      }
       auto parameter = [](const std::string& name, const std::string& value) {
         auto framed = pg::command_complete(name + '\0' + value);
         framed[0] = 'S';
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -1,5 +1,6 @@
 // One test a rule, with real sockets.
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <unistd.h>
 
 #include "app/logger.h"
@@ -196,6 +197,57 @@
   CHECK(client.ask(big).value == value);
 }
 
+TEST_CASE("values: one that breaks off halfway never reaches the client; a read goes on to another server") {
+  Rig rig;
+  std::string value(40000, 'h');
+  rig.replica.reply = [&](const std::string&) { return Reply{Reply::kHalf, value, 0}; };
+  rig.primary.reply = [&](const std::string&) { return Reply{Reply::kRow, value, 0}; };
+  Client client(rig.port);
+  for (int i = 0; i < 3; ++i) {
+    auto answer = client.ask(read_sql("h" + std::to_string(i), 1900));
+    CHECK(answer.end == 'Z');
+    CHECK((answer.row ? answer.value == value : !answer.code.empty()));
+  }
+  CHECK(rig.primary.count() + rig.replica.count() > 0);
+}
+
+TEST_CASE("facade: a send that was decided, but whose client left first, does not stay in flight for ever") {
+  Rig rig;
+  net::Loop loop;
+  auto now = loop.now();
+  routing::Facade facade(rig.config.settings, 1, routing::UnixClock::measured(), [](const std::string&) {});
+  facade.update(now, rig.config.known);
+  for (auto name : {"s-p", "s-r"})
+    facade.report(
+        now, routing::ProbeResult{name, true, routing::Micros(1000),
+                                  fmt::format("x0={},x1={}", double(unix_ms()) / 1000, *(name + 2) == 'p')});
+  // Writes to a primary that turns each away: the module sends again, and the client leaves before that is
+  // fetched.
+  int sends = 0;
+  for (routing::RequestId id = 1; id <= 400; ++id) {
+    auto at = now + routing::Micros(id * 40000);
+    routing::Request request;
+    request.id = id;
+    request.cls = facade.find_class("book")->index;
+    request.cluster = 2;
+    request.expires = at + routing::Micros(3'000'000);
+    auto decision = facade.pick(at, request);
+    if (decision.what == routing::Decision::What::kSend) {
+      ++sends;
+      routing::Result end;
+      end.request = id;
+      end.server = decision.server;
+      end.ending = routing::Ending::kReset;
+      end.taken = routing::Micros(100);
+      end.role = routing::ServerRole::kPrimary;
+      facade.report(at, end);
+    }
+    facade.gone(at, id);
+    facade.tick(at);
+  }
+  CHECK(sends > 200);
+}
+
 TEST_CASE("connections: reused between requests, and closed before the server's idle limit") {
   Rig rig(200, R"(,"Extra":{"New":1})");
   Client client(rig.port);
--- a/tests/proxy_test.sh
+++ b/tests/proxy_test.sh
@@ -22,5 +22,20 @@
 bad 'a missing file' 'cannot be read' serve --config "$folder/none.json"
 bad 'a bad configuration' "listen is no address: 'nowhere'" serve --config "$folder/bad.json"
 bad 'a bad configuration, only checked' 'bad.json' check --config "$folder/bad.json"
+# Told to stop, it ends with 0, and has said so.
+cat >"$folder/good.json" <<'EOF'
+{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","known":{"generation":0,"reset":true,"instances":[]},
+ "settings":{"RequestClasses":[{"Name":"a","Effect":"pure","TargetMs":500,"DeadlineMs":2000}]}}
+EOF
+"$proxy" check --config "$folder/good.json" >/dev/null || { echo "FAILED check"; failed=1; }
+NODE_CONFIG="$folder/good.json" "$proxy" serve 2>"$folder/log" &
+pid=$!
+for _ in $(seq 200); do
+  grep -q 'listens on' "$folder/log" && break
+  sleep 0.05
+done
+kill -TERM $pid
+wait $pid || { echo "FAILED stop: exit code $?"; failed=1; }
+grep -q 'stopped: taken 0' "$folder/log" || { echo "FAILED stop: $(cat "$folder/log")"; failed=1; }
 [ $failed -eq 0 ] && echo "proxy: all cases as expected"
 exit $failed
