Make the test of a pause fail without what it guards

Each new guard was taken out once to see its test fail. The one of the pause stayed green: its request was refused by the overload rule's coin, not for its age. With another id it fails without the change in Router::handle and passes with it. The one of unfetched sends failed as it should.

--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -397,7 +397,7 @@
   auto late = outcome(sends[0], 0, Status::Success, Role::Replica);
   late.taken = 20ms;
   router.handle(11s + 550ms, {late});
-  auto actions = router.handle(11s + 550ms, {request(2, kAny, 12s + 150ms)});
+  auto actions = router.handle(11s + 550ms, {request(3, kAny, 12s + 150ms)});
   EXPECT_EQ(only<Refuse>(actions).size(), 1u) << "came 1.4 s ago, wanted within 0.4";
 }
 
