Read the configuration again on SIGHUP and move the watch without a gap

Nothing handled SIGHUP (src/app/commands.cpp, Signals). Now the three signals are blocked from serve()'s first line and told through the loop. A good file changes discovery's address, descriptors and the pool's limits; what needs a restart is said so; a bad file leaves the old one in force with one line. A new discovery address is asked for its whole list, whatever version it counts from, and the old watch goes on until that list is there. The tests (a process test for the signal, real sockets for the move) fail with the version handed over instead of the whole list, and without the handler.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -22,29 +22,32 @@
 
 constexpr const char* kVersion = "0.2.0";
 
-// SIGTERM and SIGINT, told through the loop.
+sigset_t handled_signals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, number);
+  return set;
+}
+
+// SIGTERM, SIGINT and SIGHUP, told through the loop. They are blocked from the first line of serve() on: one
+// that comes before the loop runs waits for it.
 class Signals : public net::Handler {
  public:
-  Signals(net::Loop& loop, std::function<void()> told) : loop_(loop), told_(std::move(told)) {
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigprocmask(SIG_BLOCK, &set, nullptr);
+  Signals(net::Loop& loop, std::function<void()> stop, std::function<void()> reload)
+      : loop_(loop), stop_(std::move(stop)), reload_(std::move(reload)) {
+    auto set = handled_signals();
     fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!fd_ || !loop_.add(fd_.get(), this)) throw std::runtime_error("cannot watch for signals");
   }
   ~Signals() override { loop_.remove(fd_.get(), this); }
   void on_ready(std::uint32_t) override {
     signalfd_siginfo info;
-    bool any = false;
-    while (read(fd_.get(), &info, sizeof info) == sizeof info) any = true;
-    if (any) told_();
+    while (read(fd_.get(), &info, sizeof info) == sizeof info) info.ssi_signo == SIGHUP ? reload_() : stop_();
   }
 
  private:
   net::Loop& loop_;
-  std::function<void()> told_;
+  std::function<void()> stop_, reload_;
   net::Fd fd_;
 };
 
@@ -58,21 +61,41 @@
   return std::min<std::size_t>(limit.rlim_cur, wanted);
 }
 
-int serve(const Config& config) {
-  signal(SIGPIPE, SIG_IGN);
-  Logger logger(config.name);
-  auto log = logger.sink();
-  net::Loop loop;
-  routing::Facade facade(config.settings, config.seed, routing::UnixClock::measured(),
-                         [&](const std::string& text) { log(net::Level::kInfo, "decisions: " + text); });
+proxy::ProxyOptions options_of(const Config& config) {
   proxy::ProxyOptions options;
   options.listen = config.listen;
   options.discovery = config.discovery;
   options.descriptors = descriptor_limit(config.sockets);
   options.pool = config.pool;
   options.known = config.known;
+  return options;
+}
+
+// SIGHUP: reads the file again. A bad one changes nothing, and one line says so.
+void reload(const std::string& path, const Config& running, proxy::Proxy* proxy, const net::Log& log) try {
+  auto config = read_config(path);
+  proxy->reconfigure(options_of(config));
+  bool restart = config.listen != running.listen || config.settings_text != running.settings_text;
+  log(net::Level::kInfo,
+      fmt::format("configuration read again: discovery {}, {} descriptors{}", config.discovery,
+                  config.sockets, restart ? "; listen or settings differ, which needs a restart" : ""));
+} catch (const ConfigError& e) {
+  log(net::Level::kError, fmt::format("the configuration in force stays: {}", e.what()));
+}
+
+int serve(const Config& config, const std::string& path) {
+  auto handled = handled_signals();
+  sigprocmask(SIG_BLOCK, &handled, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  Logger logger(config.name);
+  auto log = logger.sink();
+  net::Loop loop;
+  routing::Facade facade(config.settings, config.seed, routing::UnixClock::measured(),
+                         [&](const std::string& text) { log(net::Level::kInfo, "decisions: " + text); });
+  auto options = options_of(config);
   proxy::Proxy proxy(loop, facade, options, log);
-  Signals signals(loop, [&] { proxy.shut_down(); });
+  Signals signals(
+      loop, [&] { proxy.shut_down(); }, [&] { reload(path, config, &proxy, log); });
   log(net::Level::kInfo,
       fmt::format("linenwinch {} listens on {}, {} servers known, {} descriptors", kVersion, config.listen,
                   config.known.members.size(), options.descriptors));
@@ -120,7 +143,7 @@
   else
     throw std::runtime_error("no configuration: give --config FILE or set NODE_CONFIG");
   auto config = read_config(path);
-  if (command == "serve") return serve(config);
+  if (command == "serve") return serve(config, path);
   std::cout << fmt::format("{}: good ({} classes, {} servers known)\n", path, config.settings.classes.size(),
                            config.known.members.size());
   return 0;
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -73,6 +73,7 @@
   if (root.contains("known")) c.known = discovery::read_members(root.at("known"));
   Pairs pairs;
   flatten(root.at("settings"), "", &pairs);
+  c.settings_text = root.at("settings").dump();
   badgercourse::SettingsReader settings(std::move(pairs));
   c.settings = settings.settings();
   if (c.settings.classes.empty()) throw ConfigError("settings.RequestClasses is empty");
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -22,6 +22,7 @@
   std::size_t sockets = 1024;
   discovery::MemberUpdate known;
   badgercourse::Settings settings;
+  std::string settings_text;  // the same as it stood in the file, to compare
   proxy::PoolLimits pool;
 };
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -21,15 +21,16 @@
 
 }  // namespace
 
-Watch::Watch(net::Loop& loop, net::Address address, std::string host, std::int64_t generation, Told told,
-             net::Log log)
+Watch::Watch(net::Loop& loop, net::Address address, std::string host, std::optional<std::int64_t> generation,
+             Told told, net::Log log)
     : loop_(loop),
       address_(address),
       host_(std::move(host)),
-      generation_(generation),
+      generation_(generation.value_or(0)),
       told_(std::move(told)),
       log_(std::move(log)),
-      pause_(kFirstPause) {}
+      pause_(kFirstPause),
+      whole_(!generation) {}
 
 Watch::~Watch() { disconnect(); }
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "discovery/members.h"
@@ -15,9 +16,10 @@
 class Watch : public net::Handler {
  public:
   using Told = std::function<void(MemberUpdate)>;
-  // `host` is what the Host field says; `generation` is the version that is known already.
-  Watch(net::Loop& loop, net::Address address, std::string host, std::int64_t generation, Told told,
-        net::Log log);
+  // `host` is what the Host field says; `generation` is the version that is known already. Without one, the
+  // whole list comes first: what another discovery counts says nothing here.
+  Watch(net::Loop& loop, net::Address address, std::string host, std::optional<std::int64_t> generation,
+        Told told, net::Log log);
   ~Watch() override;
   void start() { connect(); }
   void on_ready(std::uint32_t events) override;
@@ -40,7 +42,8 @@
   net::OutBuffer out_;
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;  // of the answer that is due, or of the next try
   net::Micros pause_;
-  bool connected_ = false, whole_ = false, failing_ = false;
+  bool whole_;  // the next call asks for all of the list
+  bool connected_ = false, failing_ = false;
 };
 
 }  // namespace linenwinch::discovery
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -29,23 +29,12 @@
       dispatcher_(loop, facade, options_.pool, log),
       on_listener_(*this) {
   auto address = net::parse_address(options_.listen);
-  auto discovery = net::parse_address(options_.discovery);
   if (!address) throw std::runtime_error("listen is no address: '" + options_.listen + "'");
-  if (!discovery) throw std::runtime_error("discovery is no address: '" + options_.discovery + "'");
   dispatcher_.pool().room = [this] { return descriptors_in_use() < options_.descriptors || make_room(); };
   auto known = options_.known;
   known.reset = true;
   dispatcher_.list(known, true);
-  watch_ = std::make_unique<discovery::Watch>(
-      loop_, *discovery, options_.discovery, known.generation,
-      [this](discovery::MemberUpdate update) {
-        if (!update.members.empty() || update.reset)
-          log_(net::Level::kInfo,
-               fmt::format("list version {}: {} {}", update.generation, update.members.size(),
-                           update.reset ? "servers in all" : "changes"));
-        dispatcher_.list(std::move(update));
-      },
-      log);
+  watch_ = watch(options_.discovery, known.generation);
   std::string error;
   listener_ = net::listen_on(*address, &error);
   if (!listener_) throw std::runtime_error(fmt::format("cannot listen on {}: {}", options_.listen, error));
@@ -56,6 +45,35 @@
   if (listener_) loop_.remove(listener_.get(), &on_listener_);
 }
 
+std::unique_ptr<discovery::Watch> Proxy::watch(const std::string& address,
+                                               std::optional<std::int64_t> generation) {
+  watched_ = address;
+  auto parsed = net::parse_address(address);
+  if (!parsed) throw std::runtime_error("discovery is no address: '" + address + "'");
+  return std::make_unique<discovery::Watch>(
+      loop_, *parsed, address, generation,
+      [this, number = ++watches_](discovery::MemberUpdate update) { told(number, std::move(update)); }, log_);
+}
+
+void Proxy::told(int number, discovery::MemberUpdate update) {
+  // The old address goes on telling until the new one has given its whole list, whatever version that is: no
+  // change falls between the two, and one that answers nothing takes nothing away.
+  if (next_watch_ && number == watches_) watch_ = std::move(next_watch_);
+  if (!update.members.empty() || update.reset)
+    log_(net::Level::kInfo, fmt::format("list version {}: {} {}", update.generation, update.members.size(),
+                                        update.reset ? "servers in all" : "changes"));
+  dispatcher_.list(std::move(update));
+}
+
+void Proxy::reconfigure(const ProxyOptions& options) {
+  options_.descriptors = options.descriptors;
+  options_.pool = options.pool;
+  dispatcher_.pool().set_limits(options.pool);
+  if (options.discovery == watched_) return;
+  next_watch_ = watch(options.discovery, std::nullopt);
+  next_watch_->start();
+}
+
 int Proxy::port() const { return net::local_port(listener_.get()); }
 
 void Proxy::run() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -25,6 +25,8 @@
 
   void run();        // until it has shut down
   void shut_down();  // finishes what was taken; run() returns after that
+  // Takes over what may change under load: discovery's address, descriptors, the pool's limits.
+  void reconfigure(const ProxyOptions& options);
   int port() const;
   void session_closed(ClientSession* session) override;
   void cancel_requested(std::uint32_t number, std::uint32_t secret) override;
@@ -40,6 +42,8 @@
   };
 
   void accept_all();
+  std::unique_ptr<discovery::Watch> watch(const std::string& address, std::optional<std::int64_t> generation);
+  void told(int number, discovery::MemberUpdate update);
   void end_of_turn();
   bool make_room();
   void close_idle_clients();
@@ -49,7 +53,9 @@
   ProxyOptions options_;
   net::Log log_;
   Dispatcher dispatcher_;
-  std::unique_ptr<discovery::Watch> watch_;
+  std::unique_ptr<discovery::Watch> watch_, next_watch_;  // next_: of a new address, until it has answered
+  std::string watched_;                                   // the address of the newest
+  int watches_ = 0;                                       // made so far: the newest has this number
   Listener on_listener_;
   net::Fd listener_;
   bool accept_again_ = false, was_ready_ = false;
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -77,6 +77,7 @@
   ~ServerPool();
 
   void update(const discovery::MemberUpdate& list);
+  void set_limits(PoolLimits limits) { limits_ = limits; }  // for what begins from now on
   void start(RequestId request, int attempt, const std::string& server, Micros wait);
   void cancel(RequestId request);  // closes; tells nobody unless an attempt was out
   void probe(const std::string& server);
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -366,7 +366,17 @@
           if (events & EPOLLIN) call();
         }
       } told;
-      told.call = [&] { gently ? proxy.shut_down() : loop.stop(); };
+      told.call = [&] {
+        std::uint64_t count = 0;
+        [[maybe_unused]] auto n = read(stop_.get(), &count, sizeof count);
+        std::function<void(proxy::Proxy&)> change;
+        {
+          std::lock_guard lock(mutex_);
+          change = std::exchange(change_, {});
+        }
+        if (change) return change(proxy);
+        gently ? proxy.shut_down() : loop.stop();
+      };
       loop.add(stop_.get(), &told);
       started.set_value(proxy.port());
       proxy.run();
@@ -383,6 +393,18 @@
     std::uint64_t one = 1;
     REQUIRE(write(stop_.get(), &one, sizeof one) == sizeof one);
   }
+  // Runs in the proxy's own thread.
+  void with_proxy(std::function<void(proxy::Proxy&)> change) {
+    {
+      std::lock_guard lock(mutex_);
+      change_ = std::move(change);
+    }
+    tell();
+    REQUIRE(soon([&] {
+      std::lock_guard lock(mutex_);
+      return !change_;
+    }));
+  }
   void stop_gently() {
     gently = true;
     tell();
@@ -396,6 +418,8 @@
 
  private:
   net::Fd stop_;
+  std::mutex mutex_;
+  std::function<void(proxy::Proxy&)> change_;
   std::thread runs_;
 };
 
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -266,6 +266,37 @@
   CHECK(soon([&] { return client.ask(read_sql("n1", 400)).row && fresh.count() > 0; }));
 }
 
+TEST_CASE("discovery: a new address takes over once it has told its list, whatever version it counts from") {
+  Rig rig;
+  Client client(rig.port);
+  for (int i = 0; i < 9; ++i) rig.discovery.set(entry("s-p", rig.primary));
+  Discovery next, mute;
+  Server fresh(true);
+  next.set(entry("s-n", fresh));  // its version is far lower than the old one's
+  mute.breaks = 1 << 20;
+  auto turn_to = [&](const std::string& address) {
+    rig.with_proxy([&](proxy::Proxy& p) {
+      proxy::ProxyOptions options{rig.config.listen, address, rig.config.sockets, rig.config.pool, {}};
+      p.reconfigure(options);
+    });
+  };
+  turn_to(mute.address());  // it tells nothing: the old one stays in force
+  REQUIRE(soon([&] { return mute.calls >= 2; }));
+  Server later(true);
+  rig.discovery.set(entry("s-l", later));
+  CHECK(soon([&] { return client.ask(read_sql("o1", 400)).row && later.count() > 0; }));
+  turn_to(next.address());
+  CHECK(soon([&] { return client.ask(read_sql("o2", 400)).row && fresh.count() > 0; }));
+  auto old_calls = rig.discovery.calls.load();
+  turn_to(next.address());  // nothing new: the watch goes on
+  Server last(true);
+  next.set(entry("s-q", last));  // as a change of the same watch
+  CHECK(soon([&] { return client.ask(read_sql("o3", 400)).row && last.count() > 0; }));
+  CHECK(rig.discovery.calls == old_calls);
+  turn_to(rig.discovery.address());  // and back again
+  CHECK(soon([&] { return rig.discovery.calls > old_calls; }));
+}
+
 TEST_CASE("descriptors: idle clients make room for new ones") {
   Rig rig(40);
   std::vector<std::unique_ptr<Client>> idle;
--- a/tests/proxy_test.sh
+++ b/tests/proxy_test.sh
@@ -34,7 +34,28 @@
   grep -q 'listens on' "$folder/log" && break
   sleep 0.05
 done
+# Told to read its configuration again, it does so each time; a bad file leaves the old one in force.
+told() { # expected text, how often it must stand in the log by now
+  for _ in $(seq 200); do
+    [ "$(grep -c "$1" "$folder/log")" -eq "$2" ] && return
+    sleep 0.05
+  done
+  echo "FAILED reload: $1 is not there $2 times: $(cat "$folder/log")"
+  failed=1
+}
+sed -i 's/127.0.0.1:1"/127.0.0.1:2"/' "$folder/good.json"
+kill -HUP $pid
+told 'configuration read again: discovery 127.0.0.1:2,' 1
+cp "$folder/bad.json" "$folder/kept.json"
+mv "$folder/good.json" "$folder/aside.json"
+mv "$folder/kept.json" "$folder/good.json"
+kill -HUP $pid
+told 'the configuration in force stays: ' 1
+mv "$folder/aside.json" "$folder/good.json"
+kill -HUP $pid
+told 'configuration read again: discovery 127.0.0.1:2,' 2
 kill -TERM $pid
+kill -HUP $pid
 wait $pid || { echo "FAILED stop: exit code $?"; failed=1; }
 grep -q 'stopped: taken 0' "$folder/log" || { echo "FAILED stop: $(cat "$folder/log")"; failed=1; }
 [ $failed -eq 0 ] && echo "proxy: all cases as expected"
