Keep a floor under a member's limit, shared by the routers

Checked with a trace of members twice a second (not kept): when one replica of group 0 fell seconds behind, writes at its primary rose from 60 to 500 ms with 0 to 2 of them in flight, while its reads stayed at 30 ms. It does not come of crowding: a write waits for a replica. judge() took it for crowding and brought the limit from 8 to 0.25, which is one write and a pause; 25 to 56 books were held meanwhile. The replica was back at 13 s, the limit still at 0.25 at 22 s: it recovers by an answer at a time, and hardly any were let out. The new test fails without it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -26,6 +26,7 @@
 constexpr double kCalmAim = 0.35;     // of the aim: smoothed latency that a member's limit steers for
 constexpr double kFirstTotal = 16;    // over all routers: attempts in flight at an unknown member
 constexpr double kLeastLimit = 0.25;  // a limit under 1 is one attempt, and a pause after it
+constexpr double kLeastTotal = 8;     // over all routers: attempts a member always takes without crowding
 constexpr double kFit = 0.5;          // of a class's latency: less time left than this cannot be in time
 constexpr double kRescueWait = 0.35;  // of the aim: a read held longer may ask the primary for spare room
 constexpr double kRescueRoom = 0.5;   // of the primary's limit: rescued reads use no more
@@ -721,6 +722,10 @@
     if (o.need != kNone) stand(m, o.need);
   }
 
+  // Latency that stays high with hardly anything in flight does not come of crowding (a write may wait for a
+  // lagging replica): a limit that fell further would only make requests wait here, and recover late.
+  double leastLimit() const { return std::max(kLeastLimit, kLeastTotal / std::max(1, set.routers)); }
+
   void judge(Member& m, const Flight& f, const Outcome& e) {
     const auto& c = set.classes[f.cls];
     double took = us(e.taken.count() > 0 ? e.taken : now - f.sentAt);  // this router may have stood still
@@ -746,7 +751,7 @@
           kRecent * ((e.status == Status::Overloaded ? 1 : std::min(2.0, took / us(c.aim))) - m.pressure);
       double off = std::clamp(1 - m.pressure / kCalmAim, -1.0, 0.5);
       if (off < 0 || static_cast<double>(m.flying.size()) + 1 > m.limit / 2)
-        m.limit = std::clamp(m.limit * (1 + kStep * off), kLeastLimit, 256.0);
+        m.limit = std::clamp(m.limit * (1 + kStep * off), leastLimit(), 256.0);
     }
     if (e.status == Status::Success || e.status == Status::Failure) done.add(now, work[f.cls]);
   }
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -376,6 +376,31 @@
 
 // After a pause of its own a router sent what clients no longer wanted, and called members slow for its
 // sleep.
+// A primary whose writes waited for a lagging replica was left with one write at a time and a pause after it,
+// long after the replica had caught up.
+TEST(Limits, KeepAFloorSharedByTheRouters) {
+  for (int routers : {1, 4, 100}) {
+    auto s = settings();
+    s.routers = routers;
+    Router router(s, 1);
+    router.handle(10s, {list(ListKind::Full, {entry(1, true), entry(2)})});
+    auto now = 10s + 5ms;
+    router.handle(now, {probed(1, now, true), probed(2, now, false)});
+    RequestId id = 0;
+    for (int i = 0; i < 300; ++i, now += 2s)  // each alone, and each as slow as a request can be
+      for (auto& send : only<Send>(router.handle(now, {request(++id, kWrite, now + 5s)}))) {
+        auto o = outcome(send, 0, Status::Success, Role::Primary, now + 1s);
+        o.taken = 1s;
+        router.handle(now + 1s, {o});
+      }
+    std::size_t sent = 0;
+    for (int i = 0; i < 20; ++i)
+      sent += only<Send>(router.handle(now, {request(++id, kWrite, now + 5s)})).size();
+    EXPECT_GE(sent, routers == 1 ? 6u : routers == 4 ? 2u : 1u);
+    EXPECT_LE(sent, routers == 1 ? 8u : routers == 4 ? 2u : 1u);
+  }
+}
+
 TEST_F(Trio, AfterItsOwnPauseItRefusesTheHopelessAndBlamesNoMember) {
   auto sends = only<Send>(router.handle(10s + 50ms, {request(1, kAny, 12s + 50ms)}));
   ASSERT_EQ(sends.size(), 1u);
