End spoilt answers at once, and give clients shares of descriptors, time and bytes

Causes: (1) make_room() closed idle server connections before silent clients; nothing ended silence or half a command (client_session.cpp had no timer); (2) an answer that stopped short, or whose length swallowed what followed, held its attempt until the client's time was up; broke() took an error code followed by noise for that error, so a write that may have run could have been refused; bytes behind a good answer were dropped and the connection used again; a ParameterStatus without end spoilt the answer; (3) a fatal error was followed by close() with unread input, whose reset may swallow the error; (4) a second request under an open id went to a server as a second copy.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -66,6 +66,7 @@
   options.listen = config.listen;
   options.discovery = config.discovery;
   options.descriptors = descriptor_limit(config.sockets);
+  options.memory = config.memory;
   options.pool = config.pool;
   options.known = config.known;
   return options;
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -70,6 +70,11 @@
   if (root.contains("seed")) c.seed = seed_of(root.at("seed"));
   if (root.contains("limits")) c.sockets = root.at("limits").value("sockets", c.sockets);
   if (c.sockets < 32) throw ConfigError("limits.sockets is under 32");
+  if (root.contains("limits")) {
+    auto mb = root.at("limits").value("memory_mb", static_cast<double>(c.memory >> 20));
+    if (!(mb >= 8 && mb <= 1 << 20)) throw ConfigError("limits.memory_mb is not between 8 and 1048576");
+    c.memory = static_cast<std::size_t>(mb * (1 << 20));
+  }
   if (root.contains("known")) c.known = discovery::read_members(root.at("known"));
   Pairs pairs;
   flatten(root.at("settings"), "", &pairs);
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -19,7 +19,7 @@
 struct Config {
   std::string name = "linenwinch", listen, discovery;
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory = 64 << 20;  // descriptors; bytes
   discovery::MemberUpdate known;
   badgercourse::Settings settings;
   std::string settings_text;  // the same as it stood in the file, to compare
--- a/src/net/buffer.cpp
+++ b/src/net/buffer.cpp
@@ -10,7 +10,9 @@
 namespace linenwinch::net {
 namespace {
 constexpr std::size_t kChunk = 16 * 1024;
-constexpr std::size_t kKeep = 64 * 1024;  // an emptied buffer larger than this gives its memory back
+// An emptied buffer larger than this gives its memory back: a thousand connections that once had a large
+// value must not hold it for good.
+constexpr std::size_t kKeep = 4 * 1024;
 }  // namespace
 
 void InBuffer::consume(std::size_t n) {
@@ -21,12 +23,12 @@
   if (bytes_.capacity() > kKeep) bytes_.shrink_to_fit();
 }
 
-IoEnd InBuffer::fill(int fd, std::size_t cap) {
+IoEnd InBuffer::fill(int fd, std::size_t cap, std::size_t most) {
   char chunk[kChunk];
   while (true) {
     std::size_t held = bytes_.size() - start_;
-    if (held >= cap) return IoEnd::kFull;
-    ssize_t n = recv(fd, chunk, std::min(sizeof chunk, cap - held), 0);
+    if (held >= cap || most == 0) return IoEnd::kFull;
+    ssize_t n = recv(fd, chunk, std::min({sizeof chunk, cap - held, most}), 0);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? IoEnd::kAgain : IoEnd::kClosed;
     if (n == 0) return IoEnd::kClosed;
@@ -35,9 +37,21 @@
       start_ = 0;
     }
     bytes_.append(chunk, static_cast<std::size_t>(n));
+    most -= static_cast<std::size_t>(n);
   }
 }
 
+IoEnd discard(int fd, std::size_t most) {
+  while (most > 0) {
+    ssize_t n = recv(fd, nullptr, most, MSG_TRUNC);  // on TCP this drops the bytes without a copy
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? IoEnd::kAgain : IoEnd::kClosed;
+    if (n == 0) return IoEnd::kClosed;
+    most -= static_cast<std::size_t>(n);
+  }
+  return IoEnd::kFull;
+}
+
 bool OutBuffer::write(int fd, std::initializer_list<std::string_view> parts) {
   std::array<iovec, 16> iov{};
   std::size_t count = 0;
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -14,14 +15,19 @@
  public:
   std::string_view view() const { return std::string_view(bytes_).substr(start_); }
   void consume(std::size_t n);
-  // Reads until EAGAIN, the end, or `cap` unread bytes are held.
-  IoEnd fill(int fd, std::size_t cap);
+  // Reads until EAGAIN, the end, `cap` unread bytes are held, or `most` bytes have come by this call.
+  IoEnd fill(int fd, std::size_t cap, std::size_t most = SIZE_MAX);
+  std::size_t memory() const { return bytes_.capacity(); }
+  void clear() { consume(bytes_.size()); }
 
  private:
   std::string bytes_;
   std::size_t start_ = 0;
 };
 
+// Throws away what has come, `most` bytes at most. kFull: there may be more.
+IoEnd discard(int fd, std::size_t most);
+
 class OutBuffer {
  public:
   bool empty() const { return bytes_.empty(); }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -32,6 +32,8 @@
   // Events of this turn that were already fetched must not reach a handler that has gone.
   for (std::size_t i = cursor_; i < filled_; ++i)
     if (batch_[i].data.ptr == handler) batch_[i].data.ptr = nullptr;
+  for (auto* list : {&again_, &due_})
+    std::replace(list->begin(), list->end(), handler, static_cast<Handler*>(nullptr));
 }
 
 Loop::TimerId Loop::at(Micros when, std::function<void()> call) {
@@ -46,6 +48,7 @@
 }
 
 int Loop::wait_ms() const {
+  if (!again_.empty()) return 0;
   if (timers_.empty()) return 1000;
   auto left = (timers_.begin()->first.first - now_).count();
   return static_cast<int>(std::clamp<std::int64_t>((left + 999) / 1000, 0, 1000));
@@ -58,12 +61,17 @@
     int n = epoll_wait(epoll_.get(), batch_.data(), static_cast<int>(batch_.size()), wait_ms());
     if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
     now_ = std::max(now_, monotonic_now());
+    ++turn_;
+    due_ = std::exchange(again_, {});
     filled_ = static_cast<std::size_t>(std::max(0, n));
     for (cursor_ = 0; cursor_ < filled_;) {
       auto event = batch_[cursor_++];
       if (auto* handler = static_cast<Handler*>(event.data.ptr)) handler->on_ready(event.events);
     }
     cursor_ = filled_ = 0;
+    for (std::size_t i = 0; i < due_.size(); ++i)
+      if (due_[i]) due_[i]->on_ready(EPOLLIN);
+    due_.clear();
     while (!timers_.empty() && timers_.begin()->first.first <= now_) {
       auto call = std::move(timers_.begin()->second);
       timers_.erase(timers_.begin());
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -41,6 +41,10 @@
   TimerId at(Micros when, std::function<void()> call);
   void cancel(TimerId* timer);  // and forgets it; harmless for one that has fired
 
+  // Calls on_ready(EPOLLIN) in the next turn, which comes at once: for what had to stop to let others go on.
+  void again(Handler* handler) { again_.push_back(handler); }
+  std::uint64_t turn() const { return turn_; }
+
   // `end_of_turn` runs after the events and timers of each turn, and once before the first wait.
   void run(const std::function<void()>& end_of_turn);
   void stop() { stopped_ = true; }
@@ -56,6 +60,8 @@
   std::map<TimerId, std::function<void()>> timers_;
   std::vector<epoll_event> batch_;
   std::size_t cursor_ = 0, filled_ = 0;
+  std::vector<Handler*> again_, due_;
+  std::uint64_t turn_ = 0;
 };
 
 }  // namespace linenwinch::net
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -1,5 +1,6 @@
 #include "pg/statement.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace linenwinch::pg {
@@ -7,6 +8,9 @@
 
 constexpr std::string_view kSelect = "SELECT content FROM kv WHERE name = '";
 constexpr std::string_view kInsert = "INSERT INTO kv (name, content) VALUES ('";
+constexpr std::size_t kLongestName = 64;
+constexpr std::string_view kNameCharacters =
+    "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_.:";
 constexpr std::int64_t kLongestWaitMs = 24LL * 3600 * 1000;
 
 bool take(std::string_view& in, std::string_view prefix) {
@@ -52,6 +56,12 @@
   return true;
 }
 
+// What stands for a request or its key: it goes into logs and on to data servers.
+bool is_name(std::string_view s) {
+  return !s.empty() && s.size() <= kLongestName &&
+         s.find_first_not_of(kNameCharacters) == std::string_view::npos;
+}
+
 // The names and values of the comment. False: something is wrong or missing.
 bool parse_comment(std::string_view text, std::string_view comment, Statement* s, std::string_view* why) {
   bool cluster = false;
@@ -68,7 +78,7 @@
       return once(false, "the comment is no list of name=value");
     auto name = pair.substr(0, equals), value = pair.substr(equals + 1);
     if (name == "id") {
-      if (!once(s->id.empty() && !value.empty(), "id is empty or given twice")) return false;
+      if (!once(s->id.empty() && is_name(value), "id is no name or given twice")) return false;
       s->id = value;
     } else if (name == "c") {
       if (!once(s->cls.empty() && !value.empty(), "c is empty or given twice")) return false;
@@ -81,7 +91,7 @@
       s->wait_at = static_cast<std::size_t>(value.data() - text.data());
       s->wait_end = s->wait_at + value.size();
     } else if (name == "k") {
-      if (!once(!s->idempotency_key && !value.empty(), "k is empty or given twice")) return false;
+      if (!once(!s->idempotency_key && is_name(value), "k is no name or given twice")) return false;
       s->idempotency_key = value;
     } else if (name == "cluster") {
       auto number = whole(value);
@@ -103,6 +113,11 @@
 
 }  // namespace
 
+bool may_be_long(std::string_view begun) {
+  auto size = std::min(begun.size(), kInsert.size());
+  return begun.substr(0, size) == kInsert.substr(0, size);
+}
+
 Statement parse_statement(std::string_view text, std::string_view* why) {
   Statement s;
   auto rest = text;
--- a/src/pg/statement.h
+++ b/src/pg/statement.h
@@ -22,6 +22,11 @@
   bool retry = false;
 };
 
+// Whether a longer statement may begin like this. Only an INSERT carries a value; whatever else grows beyond
+// kLongestShort bytes will be refused, so it need not be waited for.
+constexpr std::size_t kLongestShort = 4096;
+bool may_be_long(std::string_view begun);
+
 // kUnknown for anything that is not exactly one of the known forms; `why` then tells what is wrong.
 Statement parse_statement(std::string_view text, std::string_view* why);
 
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -1,6 +1,7 @@
 // One client connection that speaks PostgreSQL's protocol.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "net/buffer.h"
@@ -18,6 +19,8 @@
   virtual ~SessionOwner() = default;
   virtual void session_closed(ClientSession* session) = 0;  // its descriptor is free already
   virtual void cancel_requested(std::uint32_t number, std::uint32_t secret) = 0;
+  // Told of each change of what a session's unfinished input holds; false: that is too much in all.
+  virtual bool buffered(std::ptrdiff_t change) = 0;
 };
 
 class ClientSession : public net::Handler, public ClientPort {
@@ -31,7 +34,9 @@
   void resume();  // parses on, where something had to wait
   // Between requests: nothing taken, nothing half read, nothing left to write.
   bool idle() const { return request_ == 0 && !waiting_ && in_.view().empty() && out_.empty(); }
-  bool busy() const { return request_ != 0 || !out_.empty(); }
+  bool busy() const { return !draining_ && (request_ != 0 || !out_.empty()); }
+  bool draining() const { return draining_; }                               // it has had its last word
+  bool spare() const { return request_ == 0 && !commanded_ && !waiting_; }  // it has never asked
   // What a CancelRequest names this session by.
   std::uint32_t number() const { return number_; }
   std::uint32_t secret() const { return secret_; }
@@ -49,12 +54,19 @@
  private:
   void fill();
   void process();
-  bool opening();  // the messages before the session; false: more is needed, or closed
+  void arm();  // the time by which something must have come
+  void expire();
+  void drain();
+  int waiting_behind() const;
+  void later();
+  void new_turn();
+  bool hopeless_begin();  // what has come of a command shows that it will be refused
+  bool opening();         // the messages before the session; false: more is needed, or closed
   void command(const pg::Frame& frame);
   void run(std::string_view text);
   void answer(std::string_view message);  // and ReadyForQuery
   void reject(std::string_view code, std::string_view why);
-  void fatal(std::string_view code, std::string_view why);
+  void fatal(std::string_view code, std::string_view why);  // and half-closes
   void answered();
   void write(std::initializer_list<std::string_view> parts);
 
@@ -66,7 +78,17 @@
   net::InBuffer in_;
   net::OutBuffer out_;
   bool started_ = false, skipping_ = false, waiting_ = false, closing_ = false, processing_ = false;
-  bool paused_ = false;    // reading stopped at the cap
+  bool paused_ = false;  // reading stopped at a limit
+  bool commanded_ = false, draining_ = false;
+  std::uint64_t later_in_ = 0, turn_ = ~0ULL;  // that of the two shares below
+  int commands_left_ = 0;
+  std::size_t bytes_left_ = 0;
+  std::size_t counted_ = 0;  // what buffered() knows of
+  std::size_t drained_ = 0;
+  Micros born_;
+  std::optional<Micros> stuck_by_;  // until when the client must take something of its answers
+  std::optional<Micros> begun_;     // when the command that is not yet whole began
+  net::Loop::TimerId timer_ = net::Loop::kNoTimer;
   RequestId request_ = 0;  // the one that is out
   std::size_t taken_ = 0;  // bytes of its message, consumed once it is answered
   pg::Statement statement_;
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -25,11 +25,13 @@
   lists_.emplace_back(std::move(update), cached);
 }
 
-RequestId Dispatcher::submit(ClientPort* client, routing::Request request) {
+RequestId Dispatcher::submit(ClientPort* client, routing::Request request, std::string_view name) {
+  if (names_.count(name)) return 0;
   request.id = next_++;
   ++counters_.taken;
   auto guard = loop_.at(request.expires + kGuard, [this, id = request.id] { overdue(id); });
-  open_[request.id] = {client, guard};
+  auto& open = open_[request.id] = {client, guard, std::string(name)};
+  names_.insert(open.name);  // nodes of the map stay where they are
   new_.push_back(request);
   return request.id;
 }
@@ -39,6 +41,7 @@
   if (it == open_.end()) return nullptr;
   auto* client = it->second.client;
   loop_.cancel(&it->second.guard);
+  names_.erase(it->second.name);
   open_.erase(it);
   return client;
 }
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <functional>
+#include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "discovery/members.h"
@@ -32,7 +34,8 @@
 
   void list(discovery::MemberUpdate update, bool cached = false);
   // Takes a request; `request.id` is given here. The answer comes through the port, never within this call.
-  RequestId submit(ClientPort* client, routing::Request request);
+  // 0: a request of the same name is open. Both would reach the data server as attempts of one request.
+  RequestId submit(ClientPort* client, routing::Request request, std::string_view name);
   void leave(RequestId request);  // its client has gone away
 
   // Feeds the module what this turn has brought, list changes and results before new requests, and carries
@@ -47,6 +50,7 @@
   struct Open {
     ClientPort* client;
     net::Loop::TimerId guard;
+    std::string name;  // by which the data server knows it
   };
   void settle(AttemptEnd& end);
   void carry_out(const routing::Decision& decision);
@@ -60,6 +64,7 @@
   Counters counters_;
   RequestId next_ = 1;
   std::unordered_map<RequestId, Open> open_;
+  std::unordered_set<std::string_view> names_;  // of those that are open
   std::vector<std::pair<discovery::MemberUpdate, bool>> lists_;
   std::vector<AttemptEnd> ends_;
   std::vector<routing::ProbeResult> probes_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -19,6 +19,16 @@
 constexpr Micros kMost = 15s;
 // Standard streams, epoll, the signals, the listener, discovery, the log: and some to spare.
 constexpr std::size_t kOwnDescriptors = 16;
+// Clients with requests hold a third of the descriptors at most. Two thirds for all clients leave those their
+// part beside as many silent ones, and data servers the last third.
+constexpr double kClientShare = 2.0 / 3;
+// One turn's share of new clients: a flood of them waits in the backlog, where it costs nothing.
+constexpr int kAcceptsPerTurn = 16;
+// A client that has been idle for so long, or has not asked for so long since it came, may be closed for
+// another one.
+constexpr Micros kIdleClient = 2s, kSilentClient = 1s;
+// Of the memory allowed: what unfinished statements of clients may hold together.
+constexpr std::size_t kBufferShare = 4;
 
 }  // namespace
 
@@ -67,6 +77,7 @@
 
 void Proxy::reconfigure(const ProxyOptions& options) {
   options_.descriptors = options.descriptors;
+  options_.memory = options.memory;
   options_.pool = options.pool;
   dispatcher_.pool().set_limits(options.pool);
   if (options.discovery == watched_) return;
@@ -90,8 +101,14 @@
 
 void Proxy::accept_all() {
   accept_again_ = false;
-  while (true) {
-    if (descriptors_in_use() >= options_.descriptors && !make_room()) {
+  for (int accepted = 0;; ++accepted) {
+    if (accepted == kAcceptsPerTurn) {
+      loop_.again(&on_listener_);
+      break;
+    }
+    auto most = static_cast<double>(options_.descriptors - kOwnDescriptors) * kClientShare;
+    if ((static_cast<double>(sessions_.size()) >= most && !close_client(true)) ||
+        (descriptors_in_use() >= options_.descriptors && !make_room())) {
       accept_again_ = true;  // the edge has passed: look again when something has ended
       break;
     }
@@ -121,15 +138,38 @@
   }
 }
 
-// Frees a descriptor: an idle connection to a data server, else the client that has been idle longest.
+// Frees a descriptor. Clients that have nothing to lose go first, then an idle connection to a data server: a
+// new one costs that server work and the next request time, so silent clients must not drive them out.
 bool Proxy::make_room() {
-  if (dispatcher_.pool().close_one_idle()) return true;
-  ClientSession* oldest = nullptr;
-  for (auto& [session, owned] : sessions_)
-    if (session->idle() && (!oldest || session->idle_since() < oldest->idle_since())) oldest = session;
-  if (!oldest) return false;
-  oldest->close();
-  return true;
+  return close_client(false) || dispatcher_.pool().close_one_idle() || close_client(true);
+}
+
+// Closes the client that is easiest to miss: one that was turned away, one that has never asked since a
+// while, one that has long been idle. Only where `any` of them must go, those that came or asked just now: a
+// usual client needs a moment to send its first request.
+bool Proxy::close_client(bool any) {
+  ClientSession* best[5] = {};
+  auto now = loop_.now();
+  for (auto& [session, owned] : sessions_) {
+    auto quiet = now - session->idle_since();
+    int rank = session->draining() ? 0
+               : session->spare()  ? (quiet >= kSilentClient ? 1 : 4)
+               : session->idle()   ? (quiet >= kIdleClient ? 2 : 3)
+                                   : -1;
+    if (rank < 0) continue;
+    if (!best[rank] || session->idle_since() < best[rank]->idle_since()) best[rank] = session;
+  }
+  for (int rank = 0; rank < (any ? 5 : 3); ++rank) {
+    if (!best[rank]) continue;
+    best[rank]->close();
+    return true;
+  }
+  return false;
+}
+
+bool Proxy::buffered(std::ptrdiff_t change) {
+  buffered_ += static_cast<std::size_t>(change);
+  return buffered_ <= options_.memory / kBufferShare;
 }
 
 void Proxy::session_closed(ClientSession* session) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -13,6 +13,7 @@
 struct ProxyOptions {
   std::string listen, discovery;
   std::size_t descriptors = 1024;
+  std::size_t memory = 64 << 20;  // bytes
   PoolLimits pool;
   discovery::MemberUpdate known;
 };
@@ -30,6 +31,7 @@
   int port() const;
   void session_closed(ClientSession* session) override;
   void cancel_requested(std::uint32_t number, std::uint32_t secret) override;
+  bool buffered(std::ptrdiff_t change) override;
 
  private:
   class Listener : public net::Handler {
@@ -46,6 +48,7 @@
   void told(int number, discovery::MemberUpdate update);
   void end_of_turn();
   bool make_room();
+  bool close_client(bool any);
   void close_idle_clients();
   std::size_t descriptors_in_use() const;
 
@@ -61,6 +64,7 @@
   bool accept_again_ = false, was_ready_ = false;
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
   std::vector<std::unique_ptr<ClientSession>> closed_;
+  std::size_t buffered_ = 0;  // what clients' unfinished statements hold
   std::optional<Micros> stopping_since_;
   std::uint64_t without_descriptor_ = 0;
   std::uint32_t next_number_ = 1;
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::size_t kLongestMessage = 192 * 1024;  // a value of 64 KiB takes 128 as hexadecimal digits
 constexpr std::size_t kCap = 2 * kLongestMessage;
+// An answer that has begun comes whole within a few round trips, 64 KiB too; one that pauses for so long in
+// its middle has stopped short, or a false length makes us wait for bytes that never come.
+constexpr Micros kStall{100'000};
 constexpr std::string_view kUser = "backend", kDatabase = "store", kProbe = "SHOW usage";
 
 std::optional<std::int64_t> whole(std::string_view s) {
@@ -57,6 +60,8 @@
     return true;
   }
   loop.cancel(&idle_timer_);
+  // What came unasked while it was idle, or its end, may wait unread: it would be taken for this answer.
+  if (in_.fill(fd_.get(), kCap) != net::IoEnd::kAgain || !in_.view().empty()) return false;
   return ready();
 }
 
@@ -109,12 +114,17 @@
   }
   if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
   auto end = in_.fill(fd_.get(), kCap);
-  if (end == net::IoEnd::kFull) return broke();
+  if (end == net::IoEnd::kFull) return spoilt();
   if (end == net::IoEnd::kClosed) {
     peer_closed_ = true;
     reusable_ = false;
   }
   read_frames();
+  if (!fd_ || state_ != State::kBusy) return;
+  if (parsed_ == in_.view().size() && row_description_.size == 0 && error_.empty()) return;  // not begun
+  auto& loop = pool_.loop_;
+  loop.cancel(&job_timer_);
+  job_timer_ = loop.at(std::min(job_->deadline, loop.now() + kStall), [this] { spoilt(); });
 }
 
 void ServerConnection::read_frames() {
@@ -127,10 +137,7 @@
       continue;
     }
     bool busy = state_ == State::kBusy;
-    if (parse == pg::Parse::kBad || !frame(message, parsed_)) {
-      pool_.log_(net::Level::kWarning, fmt::format("server {} sent what is no answer", server_));
-      return broke();
-    }
+    if (parse == pg::Parse::kBad || !frame(message, parsed_)) return spoilt();
     // The answer is whole: the connection may be back in the pool, with its buffer emptied.
     if (busy && state_ != State::kBusy) return;
     parsed_ += message.size;
@@ -146,7 +153,7 @@
       return true;
     case 'S': {
       auto parameter = pg::parse_parameter(message.body);
-      if (!parameter) return false;
+      if (!parameter) return true;  // a report that cannot be read spoils only the report
       if (parameter->name == "server_role")
         role_ = parameter->value == "writer"   ? routing::ServerRole::kPrimary
                 : parameter->value == "reader" ? routing::ServerRole::kReplica
@@ -184,25 +191,40 @@
       return true;
     case 'Z':
       if (state_ != State::kBusy) return false;
-      if (!error_.empty())
-        finish(ending_of_error(error_), true);
-      else if (row_description_.size > 0 && data_row_.size > 0 && complete_.size > 0)
-        finish(Ending::kServed, true);
-      else
-        return false;
+      if (amounts_to() == Ending::kReset) return false;
+      // What stands behind the answer belongs to nobody: the next answer must not begin with it.
+      finish(amounts_to(), in_.view().size() == at + message.size);
       return true;
     default:
       return false;
   }
 }
 
-// The connection has ended, or cannot be used any further.
+// What the messages so far amount to: a row or an error, and not both; kReset: no whole answer.
+Ending ServerConnection::amounts_to() const {
+  bool row = row_description_.size > 0 && data_row_.size > 0 && complete_.size > 0;
+  if (!error_.empty())
+    return row_description_.size + complete_.size > 0 ? Ending::kReset : ending_of_error(error_);
+  return row ? Ending::kServed : Ending::kReset;
+}
+
+// What came is no answer, or stopped in the middle of one. Nothing that it said before counts: an attempt
+// that was written whole may have run, whatever error code the noise resembles.
+void ServerConnection::spoilt() {
+  pool_.spoilt(server_);
+  if (!job_) return pool_.close(this);
+  if (state_ == State::kBusy && amounts_to() == Ending::kServed) return finish(Ending::kServed, false);
+  role_ = routing::ServerRole::kUnknown;
+  position_.reset();
+  load_.clear();
+  finish(ending_of_break(state_ == State::kBusy && written_), false);
+}
+
+// The connection has ended.
 void ServerConnection::broke() {
   if (!job_) return pool_.close(this);
   if (state_ == State::kGreeting && error_ == "53300") return finish(Ending::kTurnedAway, false);
-  if (state_ == State::kBusy && !error_.empty()) return finish(ending_of_error(error_), false);
-  if (state_ == State::kBusy && row_description_.size > 0 && data_row_.size > 0 && complete_.size > 0)
-    return finish(Ending::kServed, false);
+  if (state_ == State::kBusy && amounts_to() != Ending::kReset) return finish(amounts_to(), false);
   finish(ending_of_break(state_ == State::kBusy && written_), false);
 }
 
@@ -263,6 +285,16 @@
     if (!server.listed) drop_idle(server);
 }
 
+// Told once a second at most, with how many there were: a server at fault must not fill the log.
+void ServerPool::spoilt(const std::string& server) {
+  ++spoilt_;
+  if (loop_.now() < spoilt_told_ + Micros(1'000'000)) return;
+  spoilt_told_ = loop_.now();
+  log_(net::Level::kWarning,
+       fmt::format("server {} sent what is no answer ({} such answers since the last line)", server,
+                   std::exchange(spoilt_, 0)));
+}
+
 void ServerPool::drop_idle(Server& server) {
   auto idle = server.idle;
   for (auto* connection : idle) close(connection);
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -53,6 +53,8 @@
   bool frame(const pg::Frame& frame, std::size_t at);
   void finish(routing::Ending ending, bool reusable);
   void broke();
+  void spoilt();
+  routing::Ending amounts_to() const;
   std::string_view text(Span span) const { return in_.view().substr(span.at, span.size); }
 
   ServerPool& pool_;
@@ -100,6 +102,7 @@
   void ended_unsent(const std::string& server, const ServerConnection::Job& job, routing::Ending ending);
   void close(ServerConnection* connection);
   void drop_idle(Server& server);
+  void spoilt(const std::string& server);
 
   net::Loop& loop_;
   PoolLimits limits_;
@@ -109,6 +112,8 @@
   std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>> all_;
   std::unordered_map<RequestId, ServerConnection*> out_;  // attempts that are out
   std::vector<std::unique_ptr<ServerConnection>> closed_;
+  std::uint64_t spoilt_ = 0;
+  Micros spoilt_told_{INT64_MIN / 2};
 };
 
 }  // namespace linenwinch::proxy
