Send pipelined requests at once and answer them in order

Cause: a session took one request at a time (client_session.cpp, request_); what stood behind it was first looked at after its answer, with its time counted from then, so it outlived its client. Now each command has a slot in a queue; requests go out as they come, their text stays where it was read, and answers wait for those of the commands before. The new tests fail without it (the first gets 'alone', the last none refused).

--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -19,9 +19,10 @@
 // One client's share of a turn: whoever sends without end waits for all the others after each of these.
 constexpr int kCommandsPerTurn = 8;
 constexpr std::size_t kBytesPerTurn = 64 * 1024, kDiscardPerTurn = 1024 * 1024;
-// So many commands may wait behind the one that is served, which is more than a driver sends ahead; what
-// comes before those is refused untouched, or hundreds sent at once would keep a connection for minutes.
-constexpr int kPipelined = 32;
+// So many commands of one connection may wait for their answers, which is more than a driver sends ahead.
+// More requests are refused untouched, or one client's hundreds would crowd out all others; and at the second
+// figure, no more is read.
+constexpr std::size_t kPipelined = 32, kMostQueued = 256;
 // A connection that sends no whole command in this time after its beginning, or after the first byte of a
 // later one, is closed: silence and half a command must not hold a descriptor.
 constexpr Micros kPatience = 2500ms;
@@ -31,6 +32,8 @@
 constexpr std::size_t kDrainMost = 64 * 1024 * 1024;
 // `d` runs from the client's send, and the answer takes a while to arrive.
 constexpr Micros kMargin = 20ms;
+// No class waits so long; whoever asks for more is answered by then, and nothing is kept for a day.
+constexpr Micros kLongestWait = 60s;
 
 // Sessions are named by text; the module knows them by number (FNV-1a).
 std::uint64_t number_of(std::string_view name) {
@@ -68,7 +71,8 @@
   owner_.buffered(-static_cast<std::ptrdiff_t>(std::exchange(counted_, 0)));
   loop_.remove(fd_.get(), this);
   fd_.reset();
-  if (request_ != 0) dispatcher_.leave(std::exchange(request_, 0));
+  for (auto& slot : queue_)
+    if (slot->request != 0) dispatcher_.leave(std::exchange(slot->request, 0));
   owner_.session_closed(this);
 }
 
@@ -93,23 +97,31 @@
 
 void ClientSession::fill() {
   new_turn();
+  if (ended_) {  // whatever comes behind the last command is not wanted
+    if (net::discard(fd_.get(), kDiscardPerTurn) == net::IoEnd::kClosed) close();
+    return;
+  }
   auto before = in_.view().size();
   auto end = in_.fill(fd_.get(), kReadCap, bytes_left_);
   bytes_left_ -= std::min(bytes_left_, in_.view().size() - before);
   paused_ = end == net::IoEnd::kFull;
   if (end == net::IoEnd::kClosed) return close();
-  auto held = in_.memory() > pg::kLongestShort ? in_.memory() : 0;
+  auto before_it = counted_;
+  if (!account() && counted_ > before_it) fatal("53200", "no memory is left for a statement of this size");
+}
+
+bool ClientSession::account() {
+  auto held = answers_ + (in_.memory() > pg::kLongestShort ? in_.memory() : 0);
   auto change = static_cast<std::ptrdiff_t>(held) - static_cast<std::ptrdiff_t>(counted_);
   counted_ = held;
-  if (!owner_.buffered(change) && change > 0 && request_ == 0)
-    fatal("53200", "no memory is left for a statement of this size");
+  return owner_.buffered(change);
 }
 
 // The time by which something must have come. A request that is out has its own.
 void ClientSession::arm() {
   if (!fd_ || draining_) return;
   auto now = loop_.now();
-  bool partial = request_ == 0 && !waiting_ && !in_.view().empty();
+  bool partial = queue_.empty() && !waiting_ && !in_.view().empty();
   if (!partial)
     begun_.reset();
   else if (!begun_)
@@ -121,7 +133,7 @@
   std::optional<Micros> by;
   if (stuck_by_)
     by = stuck_by_;
-  else if (request_ == 0 && !waiting_ && !commanded_)
+  else if (queue_.empty() && !waiting_ && !commanded_)
     by = born_ + kPatience;
   else if (begun_)
     by = *begun_ + kPatience;
@@ -153,7 +165,7 @@
 }
 
 bool ClientSession::hopeless_begin() {
-  auto in = in_.view();
+  auto in = in_.view().substr(parsed_);
   if (!started_ || in.size() <= pg::kLongestShort) return false;
   return in[0] != 'Q' || !pg::may_be_long(in.substr(5));
 }
@@ -173,13 +185,15 @@
   if (processing_) return;
   processing_ = true;
   new_turn();
-  while (fd_ && !draining_ && request_ == 0 && !waiting_ && out_.size() < kWriteCap) {
+  blocked_ = false;
+  while (fd_ && !draining_ && !ended_ && !waiting_ && out_.size() < kWriteCap &&
+         queue_.size() < kMostQueued) {
     if (!started_) {
       if (!opening()) break;
       continue;
     }
     pg::Frame frame;
-    auto parse = pg::parse_frame(in_.view(), kLongestMessage, &frame);
+    auto parse = pg::parse_frame(in_.view().substr(parsed_), kLongestMessage, &frame);
     if (parse == pg::Parse::kBad) {
       fatal("08P01", "this is no message of the protocol");
       break;
@@ -189,7 +203,8 @@
         fatal("42601", "this statement is too long and not known here");
         break;
       }
-      if (!paused_) break;
+      // Where commands that wait for their answers fill the buffer, their end makes room.
+      if (!paused_ || in_.view().size() >= kReadCap) break;
       if (bytes_left_ == 0) {
         later();
         break;
@@ -201,11 +216,20 @@
       later();
       break;
     }
-    taken_ = frame.size;
+    message_ = frame.size;
     commanded_ = true;
     begun_.reset();
+    auto queued = queue_.size();
     command(frame);
-    if (fd_ && !draining_ && request_ == 0 && !waiting_) in_.consume(std::exchange(taken_, 0));
+    if (!fd_ || draining_ || waiting_ || blocked_) break;
+    blocked_since_.reset();
+    if (queue_.empty()) {
+      in_.consume(frame.size);
+      consumed_ += frame.size;
+      continue;
+    }
+    parsed_ += frame.size;
+    if (queue_.size() == queued) queue_.back()->size += frame.size;  // it gets no answer of its own
   }
   processing_ = false;
   if (fd_ && closing_ && idle()) close();
@@ -237,8 +261,10 @@
       write({first.code & 0xffff ? pg::negotiate_version() : "", pg::greeting(number_, secret_)});
       break;
   }
-  if (fd_) in_.consume(first.size);
-  return static_cast<bool>(fd_);
+  if (!fd_) return false;
+  in_.consume(first.size);
+  consumed_ += first.size;
+  return true;
 }
 
 void ClientSession::command(const pg::Frame& frame) {
@@ -255,14 +281,14 @@
       return close();
     case 'S':
       skipping_ = false;
-      return write({pg::ready_for_query()});
+      return reply(pg::ready_for_query());
     case 'P':
     case 'B':
     case 'E':
     case 'D':
     case 'C':
       skipping_ = true;
-      return write({pg::error_response("ERROR", "0A000", "only simple queries are supported")});
+      return reply(pg::error_response("ERROR", "0A000", "only simple queries are supported"));
     case 'H':
       return;
     case 'F':
@@ -278,8 +304,8 @@
 
 void ClientSession::run(std::string_view text) {
   std::string_view why;
-  statement_ = pg::parse_statement(text, &why);
-  switch (statement_.kind) {
+  auto statement = pg::parse_statement(text, &why);
+  switch (statement.kind) {
     case pg::StatementKind::kEmpty:
       // The front takes this answer for "able to serve".
       if (!dispatcher_.ready()) {
@@ -288,53 +314,59 @@
       }
       return answer(pg::empty_query_response());
     case pg::StatementKind::kSession:
-      return answer(pg::command_complete(statement_.tag));
+      return answer(pg::command_complete(statement.tag));
     case pg::StatementKind::kUnknown:
       return reject("42601", why);
     case pg::StatementKind::kRead:
     case pg::StatementKind::kWrite:
       break;
   }
-  auto* cls = dispatcher_.find_class(statement_.cls);
+  auto* cls = dispatcher_.find_class(statement.cls);
   if (!cls) return reject("22023", "this class is not known here");
-  if (cls->write != (statement_.kind == pg::StatementKind::kWrite))
+  if (cls->write != (statement.kind == pg::StatementKind::kWrite))
     return reject("22023", "this class is for the other kind of statement");
-  if (cls->keyed && !statement_.idempotency_key) return reject("22023", "this class needs k");
+  if (cls->keyed && !statement.idempotency_key) return reject("22023", "this class needs k");
   routing::Request request;
   request.cls = cls->index;
-  request.cluster = statement_.cluster;
-  if (cls->session) request.session = number_of(statement_.key);
-  request.after_unix_ms = statement_.after;
-  Micros wait = std::chrono::milliseconds(statement_.wait_ms);
-  request.expires = loop_.now() + std::max(wait - kMargin, wait / 2);
-  request.retry = statement_.retry;
-  if (waiting_behind() > kPipelined)
+  request.cluster = statement.cluster;
+  if (cls->session) request.session = number_of(statement.key);
+  request.after_unix_ms = statement.after;
+  bool write = statement.kind == pg::StatementKind::kWrite;
+  auto key = number_of(statement.key);
+  // Whoever sends a write and a read of the same key behind one another expects to see the write.
+  blocked_ = std::any_of(queue_.begin(), queue_.end(), [&](auto& slot) {
+    return slot->request != 0 && slot->key == key && (slot->write || write);
+  });
+  if (blocked_) {
+    if (!blocked_since_) blocked_since_ = loop_.now();
+    return;
+  }
+  Micros wait = std::min<Micros>(std::chrono::milliseconds(statement.wait_ms), kLongestWait);
+  request.expires = blocked_since_.value_or(loop_.now()) + std::max(wait - kMargin, wait / 2);
+  request.retry = statement.retry;
+  if (queue_.size() >= kPipelined || (!queue_.empty() && !account()) || request.expires <= loop_.now())
     return answer(pg::error_response("ERROR", "53300", "too many commands wait on this connection"));
+  auto slot = std::make_unique<Slot>(*this);
   // The other one, perhaps of another client, goes on as if this had not come.
-  request_ = dispatcher_.submit(this, request, statement_.id);
-  if (request_ == 0) reject("42710", "a request with this id is open");
+  slot->request = dispatcher_.submit(slot.get(), request, statement.id);
+  if (slot->request == 0) return reject("42710", "a request with this id is open");
+  slot->start = consumed_ + parsed_;
+  slot->size = slot->message = message_;
+  slot->wait_at = statement.wait_at;
+  slot->wait_end = statement.wait_end;
+  slot->key = key;
+  slot->write = write;
+  queue_.push_back(std::move(slot));
 }
 
-// How many commands have come behind the one that is being taken; no more are counted than matter.
-int ClientSession::waiting_behind() const {
-  auto rest = in_.view().substr(taken_);
-  int count = 0;
-  pg::Frame frame;
-  while (count <= kPipelined && pg::parse_frame(rest, kLongestMessage, &frame) == pg::Parse::kOk) {
-    rest.remove_prefix(frame.size);
-    ++count;
-  }
-  return count;
-}
-
-Query ClientSession::query(Micros wait) {
+Query ClientSession::query(const Slot& slot, Micros wait) const {
   // The statement begins behind the message's letter and length. Its text stays where it was read; only the
   // wait is written anew.
-  auto text = in_.view().substr(5, taken_ - 5);
+  auto text = in_.view().substr(slot.start - consumed_ + 5, slot.message - 5);
   Query q;
   q.wait = fmt::format("{}", wait / 1ms);
-  q.before = text.substr(0, statement_.wait_at);
-  q.after = text.substr(statement_.wait_end);
+  q.before = text.substr(0, slot.wait_at);
+  q.after = text.substr(slot.wait_end);
   q.head = pg::query_head(q.before.size() + q.wait.size() + q.after.size() - 1);
   return q;
 }
@@ -343,17 +375,37 @@
   if (!out_.write(fd_.get(), parts)) close();
 }
 
-void ClientSession::answer(std::string_view message) { write({message, pg::ready_for_query()}); }
+// To a command just taken: at once, or behind the answers to those before it.
+void ClientSession::reply(std::string message) {
+  if (queue_.empty()) return write({message});
+  auto slot = std::make_unique<Slot>(*this);
+  slot->size = message_;
+  slot->done = true;
+  answers_ += message.size();
+  slot->answer = std::move(message);
+  queue_.push_back(std::move(slot));
+}
+
+void ClientSession::answer(std::string_view message) { reply(std::string(message) + pg::ready_for_query()); }
 
 void ClientSession::reject(std::string_view code, std::string_view why) {
   answer(pg::error_response("ERROR", code, why));
 }
 
 void ClientSession::fatal(std::string_view code, std::string_view why) {
+  if (!queue_.empty()) {  // what was taken before gets its answer first
+    message_ = 0;
+    reply(pg::error_response("FATAL", code, why));
+    queue_.back()->last = true;
+    ended_ = true;
+    return;
+  }
   write({pg::error_response("FATAL", code, why)});
-  if (!fd_) return;
+  if (fd_) half_close();
+}
+
+void ClientSession::half_close() {
   draining_ = true;
-  taken_ = 0;
   in_.clear();
   owner_.buffered(-static_cast<std::ptrdiff_t>(std::exchange(counted_, 0)));
   loop_.cancel(&timer_);
@@ -361,36 +413,58 @@
   drain();
 }
 
-void ClientSession::serve(const Answer& a) {
+void ClientSession::serve(Slot& slot, const Answer& a) {
+  if (&slot != queue_.front().get()) {
+    std::string whole;
+    for (auto frame : a.frames) whole.append(frame);
+    return finish(slot, whole + pg::ready_for_query());
+  }
   write({a.frames[0], a.frames[1], a.frames[2], pg::ready_for_query()});
-  answered();
+  finish(slot, "");
 }
 
-void ClientSession::refuse(Micros retry_after) {
-  answer(pg::error_response("ERROR", "53300", "too much to do at the moment",
-                            retry_after.count() > 0 ? fmt::format("{}", retry_after / 1ms) : ""));
-  answered();
+void ClientSession::Slot::refuse(Micros retry_after) {
+  session.finish(*this,
+                 pg::error_response("ERROR", "53300", "too much to do at the moment",
+                                    retry_after.count() > 0 ? fmt::format("{}", retry_after / 1ms) : "") +
+                     pg::ready_for_query());
 }
 
-void ClientSession::fail(std::string_view why) {
-  answer(pg::error_response("ERROR", "57014", why));
-  answered();
+void ClientSession::Slot::fail(std::string_view why) {
+  session.finish(*this, pg::error_response("ERROR", "57014", why) + pg::ready_for_query());
 }
 
-// Asked for by the client on another connection. A request that is not out any more is not touched.
-void ClientSession::cancel() {
-  if (request_ == 0) return;
-  dispatcher_.leave(request_);
-  fail("canceled on the client's request");
-}
-
-void ClientSession::answered() {
+void ClientSession::finish(Slot& slot, std::string answer) {
+  slot.request = 0;
   if (!fd_) return;  // writing found it broken
-  request_ = 0;
-  commanded_ = true;
-  in_.consume(std::exchange(taken_, 0));
+  slot.done = true;
+  answers_ += answer.size();
+  slot.answer = std::move(answer);
   idle_since_ = loop_.now();
-  process();
+  flush_answers();
+  if (fd_) process();
+}
+
+void ClientSession::flush_answers() {
+  while (fd_ && !queue_.empty() && queue_.front()->done) {
+    auto slot = std::move(queue_.front());
+    queue_.pop_front();
+    answers_ -= slot->answer.size();
+    in_.consume(slot->size);
+    consumed_ += slot->size;
+    parsed_ -= slot->size;
+    if (!slot->answer.empty()) write({slot->answer});
+    if (fd_ && slot->last) half_close();
+  }
+  if (fd_) account();
+}
+
+// Asked for by the client on another connection: the command that is its turn. A request that is not out any
+// more is not touched.
+void ClientSession::cancel() {
+  if (queue_.empty() || queue_.front()->request == 0) return;
+  dispatcher_.leave(queue_.front()->request);
+  queue_.front()->fail("canceled on the client's request");
 }
 
 }  // namespace linenwinch::proxy
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -1,6 +1,8 @@
 // One client connection that speaks PostgreSQL's protocol.
 #pragma once
 
+#include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -23,7 +25,7 @@
   virtual bool buffered(std::ptrdiff_t change) = 0;
 };
 
-class ClientSession : public net::Handler, public ClientPort {
+class ClientSession : public net::Handler {
  public:
   ClientSession(net::Loop& loop, Dispatcher& dispatcher, SessionOwner& owner, net::Fd fd,
                 std::uint32_t number, std::uint32_t secret);
@@ -33,10 +35,10 @@
   void on_ready(std::uint32_t events) override;
   void resume();  // parses on, where something had to wait
   // Between requests: nothing taken, nothing half read, nothing left to write.
-  bool idle() const { return request_ == 0 && !waiting_ && in_.view().empty() && out_.empty(); }
-  bool busy() const { return !draining_ && (request_ != 0 || !out_.empty()); }
-  bool draining() const { return draining_; }                               // it has had its last word
-  bool spare() const { return request_ == 0 && !commanded_ && !waiting_; }  // it has never asked
+  bool idle() const { return queue_.empty() && !waiting_ && in_.view().empty() && out_.empty(); }
+  bool busy() const { return !draining_ && (!queue_.empty() || !out_.empty()); }
+  bool draining() const { return draining_; }                                // it has had its last word
+  bool spare() const { return queue_.empty() && !commanded_ && !waiting_; }  // it has never asked
   // What a CancelRequest names this session by.
   std::uint32_t number() const { return number_; }
   std::uint32_t secret() const { return secret_; }
@@ -46,28 +48,47 @@
   void close_when_idle() { closing_ = true; }  // after what it still has to answer
   bool read_once();                            // looks for what has come unseen; false: closed by that
 
-  Query query(Micros wait) override;
-  void serve(const Answer& answer) override;
-  void refuse(Micros retry_after) override;
-  void fail(std::string_view why) override;
-
  private:
+  // A command whose answer is not on its way yet. Requests that a client sends behind one another are out at
+  // the same time; their answers wait here for those of the commands before.
+  struct Slot : ClientPort {
+    explicit Slot(ClientSession& owner) : session(owner) {}
+    Query query(Micros wait) override { return session.query(*this, wait); }
+    void serve(const Answer& answer) override { session.serve(*this, answer); }
+    void refuse(Micros retry_after) override;
+    void fail(std::string_view why) override;
+
+    ClientSession& session;
+    RequestId request = 0;              // while it is out
+    std::uint64_t start = 0;            // where its message stands in the stream of all that was read
+    std::size_t size = 0, message = 0;  // bytes to consume with it; those of the message itself
+    std::size_t wait_at = 0, wait_end = 0;
+    std::uint64_t key = 0;
+    bool write = false, done = false, last = false;  // last: the connection ends after it
+    std::string answer;
+  };
+
   void fill();
   void process();
   void arm();  // the time by which something must have come
   void expire();
   void drain();
-  int waiting_behind() const;
   void later();
   void new_turn();
   bool hopeless_begin();  // what has come of a command shows that it will be refused
   bool opening();         // the messages before the session; false: more is needed, or closed
   void command(const pg::Frame& frame);
   void run(std::string_view text);
+  Query query(const Slot& slot, Micros wait) const;
+  void serve(Slot& slot, const Answer& answer);
+  void finish(Slot& slot, std::string answer);
+  void flush_answers();
+  void reply(std::string message);        // in its turn
   void answer(std::string_view message);  // and ReadyForQuery
+  bool account();                         // false: too much is held in memory by all clients
   void reject(std::string_view code, std::string_view why);
   void fatal(std::string_view code, std::string_view why);  // and half-closes
-  void answered();
+  void half_close();
   void write(std::initializer_list<std::string_view> parts);
 
   net::Loop& loop_;
@@ -89,9 +110,14 @@
   std::optional<Micros> stuck_by_;  // until when the client must take something of its answers
   std::optional<Micros> begun_;     // when the command that is not yet whole began
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;
-  RequestId request_ = 0;  // the one that is out
-  std::size_t taken_ = 0;  // bytes of its message, consumed once it is answered
-  pg::Statement statement_;
+  std::deque<std::unique_ptr<Slot>> queue_;  // in the order of the commands
+  std::uint64_t consumed_ = 0;               // of the stream: where in_ begins
+  std::size_t parsed_ = 0;                   // of in_: what belongs to the queue
+  std::size_t message_ = 0;                  // the size of the one being taken
+  std::size_t answers_ = 0;                  // bytes that wait in the queue
+  bool ended_ = false;                       // nothing more is taken; the queue's last slot ends it
+  bool blocked_ = false;                     // the next command waits for one before it
+  std::optional<Micros> blocked_since_;
   Micros idle_since_{0};
 };
 
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -39,6 +39,47 @@
   CHECK(client.answer().code == "42601");
 }
 
+TEST_CASE("clients: requests sent behind one another are out at once, and answered in order") {
+  Rig rig;
+  rig.primary.reply = rig.replica.reply = [&](const std::string& sql) {
+    bool together = soon([&] { return rig.primary.most_out + rig.replica.most_out >= 3; }, 1s);
+    if (sql.find("id=q1") != std::string::npos) std::this_thread::sleep_for(50ms);
+    return Reply{Reply::kRow, together ? sql.substr(sql.find("id="), 5) : "alone", 0};
+  };
+  Client client(rig.port);
+  client.send(pg::simple_query(read_sql("q1", 1900)) + pg::simple_query(read_sql("q2", 1900)) +
+              pg::simple_query("SET x = 1") + pg::simple_query(read_sql("q3", 1900)) + "\x01noise");
+  CHECK(client.answer().value == "id=q1");
+  CHECK(client.answer().value == "id=q2");
+  CHECK(client.answer().tag == "SET");
+  CHECK(client.answer().value == "id=q3");
+  CHECK(client.answer().code == "08P01");  // behind what was taken before it
+}
+
+TEST_CASE("clients: a read behind a write of the same key waits for it; hundreds at once are cut off") {
+  Rig rig;
+  std::atomic<bool> release{false};
+  rig.primary.reply = [&](const std::string&) {
+    soon([&] { return release.load(); });
+    return Reply{};
+  };
+  Client client(rig.port);
+  client.send(pg::simple_query(write_sql("o1", 4000)) + pg::simple_query(read_sql("o2", 4000)));
+  REQUIRE(soon([&] { return rig.primary.count() == 1; }));
+  std::this_thread::sleep_for(50ms);
+  CHECK(rig.replica.count() == 0);
+  release = true;
+  CHECK(client.answer().row);
+  CHECK(client.answer().row);
+  std::string all;
+  for (int i = 0; i < 300; ++i) all += pg::simple_query(read_sql("m" + std::to_string(i), 4000));
+  client.send(all);
+  int refused = 0;
+  for (int i = 0; i < 300; ++i) refused += client.answer().code == "53300";
+  CHECK(refused > 0);
+  CHECK(refused < 300);
+}
+
 TEST_CASE(
     "clients: what is malformed gets an SQLSTATE and never reaches a server; bad bytes end one connection") {
   Rig rig;
@@ -248,6 +289,47 @@
   CHECK(sends > 200);
 }
 
+TEST_CASE("long days: servers that come and go leave nothing behind") {
+  Rig rig;
+  Client client(rig.port);
+  REQUIRE(client.ask(write_sql("l0")).row);
+  net::Loop loop;
+  routing::Facade facade(rig.config.settings, 1, routing::UnixClock::measured(), [](const std::string&) {});
+  auto now = loop.now();
+  for (int i = 0; i < 2000; ++i, now += routing::Micros(1'000'000)) {
+    discovery::MemberUpdate update;
+    discovery::MemberInfo m;
+    m.id = "s-" + std::to_string(i);
+    m.address = rig.primary.address();
+    m.cell = 2;
+    update.members.push_back(m);
+    m.id = "s-" + std::to_string(i - 10);
+    m.lifecycle = discovery::Lifecycle::kRemoved;
+    update.members.push_back(m);
+    facade.update(now, update);
+    facade.report(now, routing::ProbeResult{m.id, false, routing::Micros(1000), ""});
+  }
+  CHECK(facade.ready());
+  CHECK(facade.servers_known() < 200);
+  CHECK(facade.members_known() < 200);
+  std::size_t known = 0;
+  for (int i = 0; i < 50; ++i) {
+    rig.with_proxy([&](proxy::Proxy& p) {
+      discovery::MemberUpdate update;
+      discovery::MemberInfo m;
+      m.id = "s-" + std::to_string(i);
+      m.address = rig.primary.address();
+      m.cell = 2;
+      update.members.push_back(m);
+      p.pool().update(update);
+      update.members[0].lifecycle = discovery::Lifecycle::kRemoved;
+      p.pool().update(update);
+      known = p.pool().servers_known();
+    });
+  }
+  CHECK(known <= 2);
+}
+
 TEST_CASE("connections: reused between requests, and closed before the server's idle limit") {
   Rig rig(200, R"(,"Extra":{"New":1})");
   Client client(rig.port);
