Forget servers that have gone, and call back attempts lost in silence

Now each forgets what has left the list (src/decide.cpp prune, facade.cpp update, server_pool.cpp forget), and an unknown group is answered at once and kept nowhere. Now a time-out at a member that was quick for others counts as lost in silence and not against it; once a hundredth of attempts goes so, an attempt that takes five times its usual latency is called back at the last moment at which another can be in time.

--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -182,6 +182,8 @@
   // `now` never falls from one call to the next. Every action takes effect at `now`, in order.
   std::vector<Action> handle(Micros now, const std::vector<Event>& events);
 
+  std::size_t members() const;  // how many it keeps in mind, those that have gone just now included
+
  private:
   struct State;
   std::unique_ptr<State> state_;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,10 +39,14 @@
 constexpr int kCalmTime = 8;          // fall windows: over so long it is measured what used to be done
 constexpr double kCatchUp = 2;        // seconds of log a second: a replica catches up no faster
 constexpr double kProbesPerRequest = 0.5, kProbeBurst = 24;  // probes for positions spend from this
-constexpr double kBadErrors = 0.25;    // share of errors above its peers' at which a member is set aside
-constexpr double kOverdue = 2;         // of a class's latency: an attempt out for longer raises a question
-constexpr int kLong = 4;               // times the smallest aim: reads that are long against the others
-constexpr std::size_t kMarks = 20000;  // sessions remembered
+constexpr double kBadErrors = 0.25;  // share of errors above its peers' at which a member is set aside
+constexpr double kOverdue = 2;       // of a class's latency: an attempt out for longer raises a question
+constexpr double kVanished = 0.01;   // share of attempts lost in silence from which late ones are called back
+constexpr double kVanishedStep = 0.005;  // weight of one attempt in that share
+constexpr double kCallBack = 2;          // of a class's latency: a sound member answers within it, mostly
+constexpr double kSurelyLate = 5;        // of a class's latency: hardly any request is so long by itself
+constexpr int kLong = 4;                 // times the smallest aim: reads that are long against the others
+constexpr std::size_t kMarks = 20000;    // sessions remembered
 constexpr std::uint64_t kTick = 1, kWake = 2;  // timers
 constexpr Micros kUnit{1000};                  // the least remaining time of a running read in cost1
 constexpr Micros kNone{INT64_MIN / 4};  // never, or unknown: far back, so that differences stay in range
@@ -56,6 +60,7 @@
   int attempt;
   std::size_t cls;
   Micros sentAt;
+  bool calledBack = false;
 };
 
 struct Member {
@@ -110,7 +115,7 @@
 struct Attempt {
   MemberId member;
   Micros sentAt;
-  bool out, mayHaveRun, failed = false;
+  bool out, mayHaveRun, failed = false, calledBack = false;
 };
 
 struct Open {
@@ -151,6 +156,7 @@
   std::vector<Member*> active;         // with attempts or a probe out: those that are watched
   bool timerSet = false, subscribed = false;
   double probeTokens = kProbeBurst;
+  double vanished = 0;  // share of attempts that no answer came to, though their member was well
   Rate asked, inTime;   // as in each group
   Rate arriving, done;  // work asked of this router of late; work done for it over a longer time
   std::uint64_t seed = 0;
@@ -296,6 +302,19 @@
     if (list.kind != ListKind::Delta)
       for (auto& [id, m] : members)
         if (!named.count(id)) condition(m, Condition::Gone);
+    prune();
+  }
+
+  // Members that have long gone are forgotten: where new ones replace old ones all day, every choice would
+  // look through all there ever were. One that is still watched or awaited stays.
+  void prune() {
+    for (auto it = members.begin(); it != members.end();) {
+      Member& m = it->second;
+      bool keep = m.condition != Condition::Gone || now - m.toldAt < forget || m.active ||
+                  !m.flying.empty() || m.probeAt != kNone || set.removalNotBinding;
+      if (!keep) std::erase(groups[m.group].members, &m);
+      it = keep ? std::next(it) : members.erase(it);
+    }
   }
 
   void condition(Member& m, Condition c) {
@@ -686,9 +705,11 @@
         else
           m.missAt = now;
       }
-      judge(m, *flight, e);
+      if (!lostInSilence(m, *flight, e)) judge(m, *flight, e);
       if (e.status == Status::Success || e.status == Status::TimedOut || e.status == Status::Overloaded)
         ended(g, e.status == Status::Success && it != open.end() && now <= it->second.useful);
+      if (it != open.end() && (e.status == Status::Success || lostInSilence(m, *flight, e)))
+        countVanished(it->second, e);
       if (it != open.end()) blame(m, it->second, e);
       if (it != open.end() && e.status == Status::Success) learn(m, it->second, *flight, e);
     }
@@ -763,7 +784,7 @@
     if (e.status != Status::Success) return;
     m.errors -= kSmooth * m.errors;
     for (auto& a : o.attempts)
-      if (a.failed && a.member != m.id) charge(members.at(a.member));
+      if (a.failed && a.member != m.id && members.count(a.member)) charge(members.at(a.member));
   }
   void charge(Member& m) {
     m.errors += kSmooth * (1 - m.errors);
@@ -814,11 +835,50 @@
     active.clear();
     for (auto* m : old) {
       m->active = false;
+      callBack(*m);
       watch(*m);
       if (m->probeAt != kNone || !m->flying.empty()) activate(*m);
     }
   }
 
+  // A member may be well and yet one connection to it silent: no probe tells. Once such losses are seen here,
+  // an attempt is called back at the last moment at which another can be in time. Without them it is left
+  // alone: what takes long there would mostly take long again.
+  void callBack(Member& m) {
+    if (!set.cancel || vanished < kVanished) return;
+    for (auto& f : m.flying) {
+      auto it = open.find(f.id);
+      if (it == open.end() || f.calledBack) continue;
+      Open& o = it->second;
+      const auto& c = cls(o);
+      bool again = c.effect == Effect::Pure || (c.effect == Effect::Keyed && c.scope != KeyScope::Zone &&
+                                                now - o.attempts[0].sentAt < c.keyWindow / 2);
+      if (!again || static_cast<int>(o.attempts.size()) + 1 >= set.maxAttempts) continue;
+      Micros usual = micros(average(m, f.cls)), until = o.useful;
+      if (c.lateShare > 0 && now >= until) until = o.r.expires;
+      Micros from = std::max(until - part(usual, kCallBack), f.sentAt + part(usual, kSurelyLate));
+      if (now < from || now > until - usual) continue;
+      f.calledBack = o.attempts[f.attempt].calledBack = true;
+      out.push_back(Cancel{f.id, f.attempt});
+    }
+  }
+
+  // Timed out at a member that was quick for others meanwhile: the connection's loss, which says nothing of
+  // the member.
+  bool lostInSilence(const Member& m, const Flight& f, const Outcome& e) const {
+    return e.status == Status::TimedOut && load(m) < kOverdue && m.heardAt > f.sentAt + (now - f.sentAt) / 2;
+  }
+
+  // An attempt came to its end. One that was called back had vanished if the next was answered far sooner.
+  void countVanished(const Open& o, const Outcome& e) {
+    double lost = e.status == Status::TimedOut;
+    if (e.attempt > 0 && e.attempt < static_cast<int>(o.attempts.size())) {
+      auto &last = o.attempts[e.attempt - 1], &a = o.attempts[e.attempt];
+      if (last.calledBack && e.taken * 2 < a.sentAt - last.sentAt) lost = 1;
+    }
+    vanished += kVanishedStep * (lost - vanished);
+  }
+
   // Silent members are asked again when a request comes that they might have served, ever more seldom.
   void askSilent(Group& g) {
     for (auto* m : g.members) {
@@ -862,10 +922,11 @@
       }
     }
     probeTokens = std::min(kProbeBurst, probeTokens + kProbesPerRequest);
-    open.emplace(r.id, std::move(o));
-    Group& g = groups[r.group];
-    g.held.push_back(r.id);
-    touch(g);
+    Open& kept = open.emplace(r.id, std::move(o)).first->second;
+    auto group = groups.find(r.group);
+    if (group == groups.end()) return finish(kept);  // clients may name any number: nothing is kept for it
+    group->second.held.push_back(r.id);
+    touch(group->second);
   }
 
   std::vector<Action> handle(Micros at, const std::vector<Event>& events) {
@@ -920,6 +981,7 @@
 
 Router::Router(Settings settings, std::uint64_t seed)
     : state_(std::make_unique<State>(std::move(settings), seed)) {}
+std::size_t Router::members() const { return state_->members.size(); }
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -29,6 +29,7 @@
   // Takes over what may change under load: discovery's address, descriptors, the pool's limits.
   void reconfigure(const ProxyOptions& options);
   int port() const;
+  ServerPool& pool() { return dispatcher_.pool(); }
   void session_closed(ClientSession* session) override;
   void cancel_requested(std::uint32_t number, std::uint32_t secret) override;
   bool buffered(std::ptrdiff_t change) override;
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -281,8 +281,19 @@
       drop_idle(server);
     }
   }
+  std::vector<std::string> left;
   for (auto& [id, server] : servers_)
-    if (!server.listed) drop_idle(server);
+    if (!server.listed) left.push_back(id);
+  for (auto& id : left) {
+    drop_idle(servers_[id]);
+    forget(id);
+  }
+}
+
+// A server that has left the list goes with its last connection: new ones replace old ones all day.
+void ServerPool::forget(const std::string& name) {
+  auto it = servers_.find(name);
+  if (it != servers_.end() && !it->second.listed && it->second.connections == 0) servers_.erase(it);
 }
 
 // Told once a second at most, with how many there were: a server at fault must not fill the log.
@@ -318,7 +329,9 @@
 }
 
 void ServerPool::run(const std::string& name, ServerConnection::Job job) {
-  auto& server = servers_[name];
+  auto known = servers_.find(name);
+  if (known == servers_.end()) return ended_unsent(name, job, Ending::kNoConnection);
+  auto& server = known->second;
   while (!server.idle.empty()) {
     auto* connection = server.idle.back();
     server.idle.pop_back();
@@ -341,6 +354,7 @@
     return ended_unsent(name, job, ours ? Ending::kNotSent : Ending::kNoConnection);
   }
   all_[connection] = std::move(made);
+  ++server.connections;
   if (!job.probe) out_[job.request] = connection;
   connection->begin(job);
 }
@@ -365,7 +379,7 @@
 void ServerPool::give_back(void* given) {
   auto* connection = static_cast<ServerConnection*>(given);
   if (!connection->reusable_ || !connection->out_.empty()) return close(connection);
-  auto& server = servers_[connection->server_];
+  auto& server = servers_[connection->server_];  // it stays as long as its connections
   if (!server.listed) return close(connection);
   connection->in_.consume(connection->in_.view().size());
   connection->parsed_ = 0;
@@ -390,7 +404,11 @@
   loop_.cancel(&connection->idle_timer_);
   if (connection->fd_) loop_.remove(connection->fd_.get(), connection);
   connection->fd_.reset();
-  std::erase(servers_[connection->server_].idle, connection);
+  if (auto server = servers_.find(connection->server_); server != servers_.end()) {
+    std::erase(server->second.idle, connection);
+    --server->second.connections;
+    forget(connection->server_);
+  }
   closed_.push_back(std::move(it->second));
   all_.erase(it);
 }
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -85,7 +85,8 @@
   void probe(const std::string& server);
   void give_back(void* connection);  // the answer of its attempt has been passed on
   bool close_one_idle();             // to make room for a descriptor; false: there is none
-  void sweep();                      // at the end of a turn: frees what was closed in it
+  std::size_t servers_known() const { return servers_.size(); }
+  void sweep();  // at the end of a turn: frees what was closed in it
   // Asked before a new connection: false when no descriptor is left.
   std::function<bool()> room = [] { return true; };
 
@@ -95,6 +96,7 @@
     std::optional<net::Address> address;
     std::string address_text;
     bool listed = false;
+    int connections = 0;
     std::vector<ServerConnection*> idle;
   };
 
@@ -102,6 +104,7 @@
   void ended_unsent(const std::string& server, const ServerConnection::Job& job, routing::Ending ending);
   void close(ServerConnection* connection);
   void drop_idle(Server& server);
+  void forget(const std::string& name);
   void spoilt(const std::string& server);
 
   net::Loop& loop_;
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -10,6 +10,10 @@
 
 namespace bc = badgercourse;
 
+// Longer than any request lasts after its server has left the list, so that no result can be for a forgotten
+// one.
+constexpr Micros kForgetServer = std::chrono::seconds(90);
+
 bc::Status status_of(Ending ending) {
   switch (ending) {
     case Ending::kServed:
@@ -57,22 +61,21 @@
   return it == classes_.end() ? nullptr : &it->second;
 }
 
-bc::MemberId Facade::member(const std::string& server) {
-  auto [it, fresh] = numbers_.try_emplace(server, static_cast<bc::MemberId>(names_.size()));
-  if (fresh) {
-    names_.push_back(server);
-    up_.push_back(false);
-  }
+bc::MemberId Facade::member(Micros now, const std::string& server) {
+  auto [it, fresh] = numbers_.try_emplace(server, next_member_);
+  if (fresh) servers_[next_member_++].name = server;
+  servers_[it->second].since = now;
   return it->second;
 }
 
 void Facade::update(Micros now, const discovery::MemberUpdate& list, bool cached) {
   bc::MemberList told;
   told.kind = cached ? bc::ListKind::Cached : list.reset ? bc::ListKind::Full : bc::ListKind::Delta;
-  if (list.reset) std::fill(up_.begin(), up_.end(), false);
+  if (list.reset)
+    for (auto& [number, server] : servers_) server.up = server.listed = false;
   for (auto& m : list.members) {
     bc::MemberEntry entry;
-    entry.member = member(m.id);
+    entry.member = member(now, m.id);
     entry.group = m.cell;
     entry.zone = m.zone;
     entry.condition = m.lifecycle == discovery::Lifecycle::kUp         ? bc::Condition::Ready
@@ -81,11 +84,20 @@
     entry.weight = m.weight;
     // 0 says long ago; a true start is kept above 0 even where this machine booted later.
     if (m.started_at_ms > 0) entry.startedAt = std::max(Micros(1), clock_.known(m.started_at_ms));
-    up_[entry.member] = m.lifecycle == discovery::Lifecycle::kUp;
+    auto& server = servers_[entry.member];
+    server.up = m.lifecycle == discovery::Lifecycle::kUp;
+    server.listed = m.lifecycle != discovery::Lifecycle::kRemoved;
     told.entries.push_back(std::move(entry));
   }
-  usable_ = static_cast<std::size_t>(std::count(up_.begin(), up_.end(), true));
+  usable_ = static_cast<std::size_t>(
+      std::count_if(servers_.begin(), servers_.end(), [](auto& s) { return s.second.up; }));
   feed(now, std::move(told));
+  // Servers are replaced by new ones all day; the module forgets them sooner than this.
+  std::erase_if(servers_, [&](auto& entry) {
+    bool gone = !entry.second.listed && now - entry.second.since > kForgetServer;
+    if (gone) numbers_.erase(entry.second.name);
+    return gone;
+  });
 }
 
 // "inflight=7,util=0.61", or the same with colons.
@@ -108,7 +120,7 @@
   bc::Outcome o;
   o.id = result.request;
   o.attempt = result.attempt;
-  o.member = member(result.server);
+  o.member = member(now, result.server);
   o.status = status_of(result.ending);
   o.taken = result.taken;
   o.closed = result.closed;
@@ -122,7 +134,7 @@
 
 void Facade::report(Micros now, const ProbeResult& result) {
   bc::ProbeResult p;
-  p.member = member(result.server);
+  p.member = member(now, result.server);
   p.ok = result.ok;
   p.taken = result.taken;
   p.report = load_report(result.load);
@@ -140,7 +152,7 @@
       bc::Outcome never;
       never.id = request;
       never.attempt = d.attempt;
-      never.member = member(d.server);
+      never.member = member(now, d.server);
       never.status = bc::Status::Void;
       never.closed = true;
       events.emplace_back(std::move(never));
@@ -202,7 +214,7 @@
       d.what = Decision::What::kSend;
       d.request = send->id;
       d.attempt = attempts_[send->id]++;
-      d.server = names_[send->member];
+      d.server = servers_[send->member].name;
       d.wait = send->timeout;
     } else if (auto* cancel = std::get_if<bc::Cancel>(&action)) {
       d.what = Decision::What::kCancel;
@@ -219,7 +231,7 @@
       attempts_.erase(fail->id);
     } else if (auto* probe = std::get_if<bc::Probe>(&action)) {
       d.what = Decision::What::kProbe;
-      d.server = names_[probe->member];
+      d.server = servers_[probe->member].name;
     } else if (auto* timer = std::get_if<bc::SetTimer>(&action)) {
       timers_.emplace_back(now + timer->after, timer->key);
       continue;
--- a/src/routing/facade.h
+++ b/src/routing/facade.h
@@ -96,8 +96,12 @@
   Decision pick(Micros now, const Request& request);
   Ticked tick(Micros now);
 
+  // What is kept of servers: bounded by those that are listed or have gone just now.
+  std::size_t servers_known() const { return servers_.size(); }
+  std::size_t members_known() const { return router_.members(); }
+
  private:
-  badgercourse::MemberId member(const std::string& server);
+  badgercourse::MemberId member(Micros now, const std::string& server);
   badgercourse::Report load_report(std::string_view text) const;
   void feed(Micros now, badgercourse::Event event);
   void take(Micros now, std::vector<badgercourse::Action> actions);
@@ -108,8 +112,13 @@
   std::function<void(const std::string&)> log_;
   std::unordered_map<std::string, ClassInfo> classes_;
   std::unordered_map<std::string, badgercourse::MemberId> numbers_;
-  std::vector<std::string> names_;
-  std::vector<bool> up_;
+  struct Server {
+    std::string name;
+    bool up = false, listed = false;
+    Micros since{0};  // when it was last listed, or named by a result
+  };
+  std::unordered_map<badgercourse::MemberId, Server> servers_;
+  badgercourse::MemberId next_member_ = 0;  // a number is never given twice
   std::size_t usable_ = 0;
   std::unordered_map<RequestId, int> attempts_;  // of the requests that are open: how many were sent
   std::vector<Decision> decided_;                // not yet fetched
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -401,6 +401,67 @@
   }
 }
 
+// Every choice looked through all members there ever were.
+TEST_F(Trio, MembersThatHaveLongGoneAreForgotten) {
+  Micros now = 11s;
+  for (MemberId m = 10; m < 500; ++m, now += 1s) {
+    router.handle(now, {list(ListKind::Delta, {entry(m)})});
+    router.handle(now + 500ms, {list(ListKind::Delta, {entry(m, false, Condition::Gone)})});
+    EXPECT_LT(router.members(), 30u);
+  }
+  router.handle(now, {probed(2, now, false)});
+  EXPECT_EQ(only<Send>(router.handle(now, {request(1, kBounded, now + 2s)})).size(), 1u);
+  // One that comes back is new.
+  router.handle(now, {list(ListKind::Delta, {entry(10)})});
+  router.handle(now + 1s, {list(ListKind::Delta, {entry(10, false, Condition::Gone)})});
+  EXPECT_LT(router.members(), 30u);
+}
+
+// A read out on a connection that had fallen silent was waited for until its client gave up: its member
+// answers probes all the while.
+TEST_F(Trio, WhereAttemptsVanishLateOnesAreCalledBackInTime) {
+  auto run = [](bool vanish) {
+    Router r(settings(), 7);
+    r.handle(10s, {list(ListKind::Full, {entry(1, true), entry(2)})});
+    Micros now = 10s + 5ms;
+    int cancels = 0;
+    for (RequestId id = 1; id <= 400; ++id, now += 50ms) {
+      r.handle(now, {probed(1, now, true), probed(2, now, false)});
+      for (auto& send : only<Send>(r.handle(now, {request(id, kBounded, now + 1s)}))) {
+        bool lost = vanish && id % 20 == 0;
+        auto o = outcome(send, 0, lost ? Status::TimedOut : Status::Success);
+        o.taken = 20ms;
+        for (Micros at = now + 30ms; lost && at < now + 1s; at += 30ms) {
+          auto actions = r.handle(at, {TimerFired{1}, probed(1, at, true), probed(2, at, false)});
+          auto called = only<Cancel>(actions);
+          if (called.empty()) continue;
+          ++cancels;
+          EXPECT_LT(at, now + 400ms) << "too late for another";
+          auto again = only<Send>(r.handle(at, {outcome(send, 0, Status::Withdrawn)}));
+          EXPECT_EQ(again.size(), 1u);
+          for (auto& second : again) {
+            auto served = outcome(second, 1, Status::Success);
+            served.taken = 20ms;
+            r.handle(at + 20ms, {served});
+          }
+          break;
+        }
+        now += lost ? Micros(1s) : Micros(20ms);
+        r.handle(now, {o});
+      }
+    }
+    return cancels;
+  };
+  EXPECT_EQ(run(false), 0);
+  EXPECT_GT(run(true), 5);
+}
+
+TEST_F(Trio, NothingIsKeptForGroupsThatClientsMakeUp) {
+  auto r = request(1, kAny, 12s);
+  r.group = 77;
+  EXPECT_EQ(only<Refuse>(router.handle(10s + 50ms, {r})).size(), 1u);
+}
+
 TEST_F(Trio, AfterItsOwnPauseItRefusesTheHopelessAndBlamesNoMember) {
   auto sends = only<Send>(router.handle(10s + 50ms, {request(1, kAny, 12s + 50ms)}));
   ASSERT_EQ(sends.size(), 1u);
