Close clients that stay idle before they use up what all clients may hold

Its sessions stood at 128 idle, exactly a third of its 384 descriptors: clients that had asked once and kept their connection held all that clients may, so the others could open none and took the proxy for unreachable. Whenever the cap evicted some, the rate came back to 250/s. Ruled out: rejections, the limit on pipelining, the backlog. Cause: proxy.cpp closed idle clients only when a new one came and two thirds of all descriptors were taken; here no new one could come. The new test fails without it (nothing is closed).

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/random.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
@@ -27,6 +28,11 @@
 // A client that has been idle for so long, or has not asked for so long since it came, may be closed for
 // another one.
 constexpr Micros kIdleClient = 2s, kSilentClient = 1s;
+// Clients that asked once and keep their connection for good use up what all clients together may hold, a
+// third of the descriptors, and the others can open none. So over a quarter, the longest idle ones are
+// closed: never one that has asked so lately that it may be about to ask again.
+constexpr std::size_t kKeptShare = 4;
+constexpr Micros kJustAsked = 50ms, kTrimEvery = 5ms;
 // Of the memory allowed: what unfinished statements of clients may hold together.
 constexpr std::size_t kBufferShare = 4;
 
@@ -167,6 +173,24 @@
   return false;
 }
 
+void Proxy::trim_idle() {
+  auto most = options_.descriptors / kKeptShare;
+  if (sessions_.size() <= most || loop_.now() - trimmed_at_ < kTrimEvery) return;
+  trimmed_at_ = loop_.now();
+  std::vector<ClientSession*> idle;
+  std::size_t asked = 0;
+  for (auto& [session, owned] : sessions_) {
+    if (session->draining() || session->spare()) continue;
+    ++asked;
+    if (session->idle() && loop_.now() - session->idle_since() >= kJustAsked) idle.push_back(session);
+  }
+  if (asked <= most) return;
+  auto count = std::min(asked - most, idle.size());
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end(),
+                    [](auto* a, auto* b) { return a->idle_since() < b->idle_since(); });
+  for (std::size_t i = 0; i < count; ++i) idle[i]->close();
+}
+
 bool Proxy::buffered(std::ptrdiff_t change) {
   buffered_ += static_cast<std::size_t>(change);
   return buffered_ <= options_.memory / kBufferShare;
@@ -182,6 +206,7 @@
 void Proxy::end_of_turn() {
   if (accept_again_) accept_all();
   if (stopping_since_) close_idle_clients();
+  trim_idle();
   dispatcher_.end_of_turn();
   if (!was_ready_ && dispatcher_.ready()) {
     was_ready_ = true;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -50,6 +50,7 @@
   void end_of_turn();
   bool make_room();
   bool close_client(bool any);
+  void trim_idle();
   void close_idle_clients();
   std::size_t descriptors_in_use() const;
 
@@ -67,6 +68,7 @@
   std::vector<std::unique_ptr<ClientSession>> closed_;
   std::size_t buffered_ = 0;  // what clients' unfinished statements hold
   std::optional<Micros> stopping_since_;
+  Micros trimmed_at_{0};
   std::uint64_t without_descriptor_ = 0;
   std::uint32_t next_number_ = 1;
 };
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -397,6 +397,25 @@
   CHECK(idle.back()->ask(read_sql("e1", 1900)).row);
 }
 
+TEST_CASE("descriptors: clients that asked once and stay give way long before the limit, oldest first") {
+  Rig rig(200);
+  std::vector<std::unique_ptr<Client>> asked;
+  for (int i = 0; i < 60; ++i) {
+    asked.push_back(std::make_unique<Client>(rig.port));
+    REQUIRE(asked.back()->ask(read_sql("k" + std::to_string(i), 1900)).row);
+  }
+  std::this_thread::sleep_for(100ms);
+  Client last(rig.port);
+  REQUIRE(last.ask(read_sql("k60", 1900)).row);
+  auto ended = [](Client& client) {
+    pollfd p{client.fd(), POLLIN, 0};
+    return poll(&p, 1, 0) == 1;
+  };
+  CHECK(soon([&] { return ended(*asked[0]) && ended(*asked[5]); }));
+  CHECK_FALSE(ended(*asked[59]));
+  CHECK(last.ask(read_sql("k61", 1900)).row);
+}
+
 TEST_CASE("stopping: what was taken is answered, new connections too, then it ends by itself") {
   Rig rig;
   std::atomic<bool> release{false};
