--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -26,7 +26,7 @@
 constexpr double kCalmAim = 0.35;     // of the aim: smoothed latency that a member's limit steers for
 constexpr double kFirstTotal = 16;    // over all routers: attempts in flight at an unknown member
 constexpr double kLeastLimit = 0.25;  // a limit under 1 is one attempt, and a pause after it
-constexpr double kLeastTotal = 8;     // over all routers: attempts a member always takes without crowding
+constexpr double kLeastTotal = 8;     // over all routers: attempts a primary always takes without crowding
 constexpr double kFit = 0.5;          // of a class's latency: less time left than this cannot be in time
 constexpr double kFitAtOnce = 0.15;   // the same for one that has come just now: a quick answer may still do
 constexpr double kRescueWait = 0.35;  // of the aim: a read held longer may ask the primary for spare room
@@ -757,7 +757,11 @@
 
   // Latency that stays high with hardly anything in flight does not come of crowding (a write may wait for a
   // lagging replica): a limit that fell further would only make requests wait here, and recover late.
-  double leastLimit() const { return std::max(kLeastLimit, kLeastTotal / std::max(1, set.routers)); }
+  // Reads have other members to go to.
+  double leastLimit(const Member& m) const {
+    double share = m.role == Role::Primary ? kLeastTotal / std::max(1, set.routers) : 0;
+    return std::max(kLeastLimit, share);
+  }
 
   void judge(Member& m, const Flight& f, const Outcome& e) {
     const auto& c = set.classes[f.cls];
@@ -784,7 +788,7 @@
           kRecent * ((e.status == Status::Overloaded ? 1 : std::min(2.0, took / us(c.aim))) - m.pressure);
       double off = std::clamp(1 - m.pressure / kCalmAim, -1.0, 0.5);
       if (off < 0 || static_cast<double>(m.flying.size()) + 1 > m.limit / 2)
-        m.limit = std::clamp(m.limit * (1 + kStep * off), leastLimit(), 256.0);
+        m.limit = std::clamp(m.limit * (1 + kStep * off), leastLimit(m), 256.0);
     }
     if (e.status == Status::Success || e.status == Status::Failure) done.add(now, work[f.cls]);
   }
@@ -878,13 +882,14 @@
   // Timed out because its client waits less than such a request usually takes: that says nothing of load.
   // Taken for overload, it had a third of all requests shed while every member was idle.
   bool outOfTime(const Member& m, const Open& o, const Flight& f, const Outcome& e) const {
-    return e.status == Status::TimedOut && us(o.r.expires - f.sentAt) < kOverdue * average(m, f.cls);
+    return e.status == Status::TimedOut && us(o.r.expires - o.arrived) < kOverdue * average(m, f.cls);
   }
 
   // Timed out at a member that was quick for others meanwhile: the connection's loss, which says nothing of
   // the member.
   bool lostInSilence(const Member& m, const Flight& f, const Outcome& e) const {
-    return e.status == Status::TimedOut && load(m) < kOverdue && m.heardAt > f.sentAt + (now - f.sentAt) / 2;
+    return e.status == Status::TimedOut && us(now - f.sentAt) > kSurelyLate * average(m, f.cls) &&
+           load(m) < kOverdue && m.heardAt > f.sentAt + (now - f.sentAt) / 2;
   }
 
   // An attempt came to its end. One that was called back had vanished if the next was answered far sooner.
