--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -1,6 +1,6 @@
 // The interface of badgercourse: what a router is told (settings and events) and what it answers (actions).
 // The library does no I/O and owns no clock: feed it batches of events, carry out the actions it returns.
-// All decisions are made in src/decide.cpp.
+// All decisions are made in src/module/decide.cpp.
 #pragma once
 
 #include <chrono>
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -97,9 +97,9 @@
   proxy::Proxy proxy(loop, facade, options, log);
   Signals signals(
       loop, [&] { proxy.shut_down(); }, [&] { reload(path, config, &proxy, log); });
-  log(net::Level::kInfo,
-      fmt::format("linenwinch {} listens on {}, {} servers known, {} descriptors", kVersion, config.listen,
-                  config.known.members.size(), options.descriptors));
+  log(net::Level::kInfo, fmt::format("linenwinch {} listens on {}:{}, {} servers known, {} descriptors",
+                                     kVersion, config.listen.substr(0, config.listen.rfind(':')),
+                                     proxy.port(), config.known.members.size(), options.descriptors));
   proxy.run();
   return 0;
 }
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -8,8 +8,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "module/settings.h"
 #include "net/socket.h"
-#include "settings.h"
 
 namespace linenwinch::app {
 namespace {
--- a/src/drill.cpp
+++ b/src/drill/drill.cpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "wire.h"
+#include "drill/wire.h"
 
 namespace {
 
--- a/src/wire.cpp
+++ b/src/drill/wire.cpp
@@ -1,10 +1,10 @@
-#include "wire.h"
+#include "drill/wire.h"
 
 #include <charconv>
 #include <cmath>
 #include <optional>
 
-#include "settings.h"
+#include "module/settings.h"
 
 namespace badgercourse::wire {
 namespace {
--- /dev/null
+++ b/src/lab/daemon.cpp
@@ -0,0 +1,150 @@
+#include "lab/daemon.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sched.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <thread>
+
+namespace linenwinch::lab {
+namespace {
+
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+std::string whole_file(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+void write_file(const fs::path& path, const std::string& text) {
+  std::ofstream file(path, std::ios::binary | std::ios::trunc);
+  file << text;
+  if (!file.flush()) throw std::runtime_error("cannot write " + path.string());
+}
+
+}  // namespace
+
+json lab_settings() {
+  return json::parse(R"({
+    "RequestClasses":[
+      {"Name":"browse","Effect":"pure","TargetMs":500.0,"DeadlineMs":2000.0,"Importance":3.0},
+      {"Name":"own-view","Effect":"pure","TargetMs":500.0,"DeadlineMs":2000.0,"Importance":1.0},
+      {"Name":"book","Effect":"token","Group":"cell","KeyTtlMs":5000.0,"TargetMs":1200.0,"DeadlineMs":5000.0,
+       "Importance":6.0,"LateShare":0.7}],
+    "FamilyInfo":{"Behind":"reject","ReadLevel":["recent","own_writes","update"],"OldestDataMs":[300.0,0.0,0.0],
+      "Positions":true,"WriteMarks":"client","ShowsRole":"off"},
+    "Report":{"How":"on_probe","Fields":["x0","x1","rif"]},"Orgs":[],"Zone":"north-bldg","NInstances":1,
+    "StepMs":5.0,
+    "Limits":{"Probes":true,"Cancel":true,"RetryAfter":true,"SecondCopies":false,"MaxAttempts":8,
+      "MaxRetryAfterMs":1000.0,"ConnectTimeoutMs":250.0,"KeepaliveMs":30000.0},
+    "Guarantees":{"AnswerSlackMs":20.0,"DrainGraceMs":1000.0,"FallMs":1500.0,"WarmUpMs":18000.0,
+      "ColdShare":0.17,"TipMultiple":3.0}})");
+}
+
+Daemon::Daemon(const DaemonOptions& options) : options_(options) {
+  auto settings = lab_settings();
+  if (!options.settings.is_null()) settings.merge_patch(options.settings);
+  json config = {{"name", "lab"},
+                 {"listen", "127.0.0.1:0"},
+                 {"discovery", options.discovery},
+                 {"seed", fmt::format("{:x}", options.seed)},
+                 {"limits", {{"sockets", options.sockets}, {"memory_mb", 2048}}},
+                 {"known", options.known},
+                 {"settings", settings}};
+  fs::path folder(options.folder);
+  auto config_path = (folder / "config.json").string(), log_path = (folder / "log").string(),
+       operator_path = (folder / "operator.json").string();
+  write_file(config_path, config.dump(1));
+  if (!options.operator_file.is_null()) write_operator_file(options.operator_file);
+  write_file(log_path, "");
+  pid_ = fork();
+  if (pid_ < 0) throw std::runtime_error("cannot start a process");
+  if (pid_ == 0) {
+    if (!options.cpus.empty()) {
+      cpu_set_t set;
+      CPU_ZERO(&set);
+      for (int cpu : options.cpus) CPU_SET(static_cast<std::size_t>(cpu), &set);
+      sched_setaffinity(0, sizeof set, &set);
+    }
+    int out = open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    dup2(out, 1);
+    dup2(out, 2);
+    std::vector<const char*> arguments{options.program.c_str(), "serve", "--config", config_path.c_str()};
+    if (!options.operator_file.is_null()) {
+      arguments.push_back("--operator");
+      arguments.push_back(operator_path.c_str());
+    }
+    arguments.push_back(nullptr);
+    execv(options.program.c_str(), const_cast<char**>(arguments.data()));
+    _exit(127);
+  }
+  for (auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);;
+       std::this_thread::sleep_for(std::chrono::milliseconds(5))) {
+    auto text = log();
+    constexpr std::string_view kListens = " listens on 127.0.0.1:";
+    auto at = text.find(kListens);
+    if (at != std::string::npos) port_ = std::atoi(text.c_str() + at + kListens.size());
+    if (port_ > 0 && text.find("ready to serve") != std::string::npos) return;
+    int status = 0;
+    bool ended = waitpid(pid_, &status, WNOHANG) == pid_;
+    if (!ended && std::chrono::steady_clock::now() < end) continue;
+    if (ended) pid_ = -1;
+    throw std::runtime_error(fmt::format("{} did not get ready: {}", options.program,
+                                         text.empty() ? "it has logged nothing" : text.substr(0, 500)));
+  }
+}
+
+Daemon::~Daemon() {
+  if (pid_ <= 0) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+void Daemon::write_operator_file(const json& content) {
+  auto path = fs::path(options_.folder) / "operator.json";
+  write_file(path.string() + ".new", content.dump(1));
+  fs::rename(path.string() + ".new", path);
+}
+
+void Daemon::signal(int number) {
+  if (pid_ > 0) kill(pid_, number);
+}
+
+int Daemon::wait() {
+  if (pid_ <= 0) return -1;
+  int status = 0;
+  waitpid(std::exchange(pid_, -1), &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+std::string Daemon::log() const { return whole_file(fs::path(options_.folder) / "log"); }
+
+Daemon::Usage Daemon::usage() const {
+  Usage usage;
+  auto process = fs::path("/proc") / std::to_string(pid_);
+  std::error_code none;
+  for (auto& task : fs::directory_iterator(process / "task", none)) {
+    auto name = whole_file(task.path() / "comm");
+    if (!name.empty() && name.back() == '\n') name.pop_back();
+    // Nanoseconds on a core, nanoseconds of waiting for one, times on one.
+    auto seconds = std::atof(whole_file(task.path() / "schedstat").c_str()) * 1e-9;
+    usage.threads[name] += seconds;
+    usage.cpu_seconds += seconds;
+  }
+  auto status = whole_file(process / "status");
+  if (auto at = status.find("VmRSS:"); at != std::string::npos)
+    usage.rss_mb = std::atof(status.c_str() + at + 6) / 1024;
+  for ([[maybe_unused]] auto& fd : fs::directory_iterator(process / "fd", none)) ++usage.descriptors;
+  return usage;
+}
+
+}  // namespace linenwinch::lab
--- /dev/null
+++ b/src/lab/rules.cpp
@@ -0,0 +1,151 @@
+#include "lab/rules.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace linenwinch::lab {
+namespace {
+
+// A request that has ended is forgotten after one to two of these; no request lasts so long.
+constexpr Micros kKeep{15'000'000};
+
+}  // namespace
+
+std::string_view name_of(Rule rule) {
+  switch (rule) {
+    case Rule::kTwoOut:
+      return "two attempts out at once";
+    case Rule::kTooMany:
+      return "too many attempts";
+    case Rule::kDrained:
+      return "sent after the grace of a drain";
+    case Rule::kCold:
+      return "cold member overrun";
+    case Rule::kStale:
+      return "stale answer";
+    case Rule::kKey:
+      return "repeat beyond its key";
+    case Rule::kWrongValue:
+      return "value of another request";
+    case Rule::kTwoAnswers:
+      return "not one answer";
+  }
+  return "?";
+}
+
+void RuleChecker::breach(Rule rule, const std::string& what) {
+  std::lock_guard lock(mutex_);
+  auto& b = breaches_[rule];
+  b.rule = rule;
+  if (++b.count == 1) b.first = what;
+}
+
+void RuleChecker::attempt(Micros now, Micros begun, std::string_view request, std::string_view server) {
+  bool two = false;
+  int attempts = 0;
+  {
+    auto& s = shard(request);
+    std::lock_guard lock(s.mutex);
+    if (now - s.swapped > kKeep) {
+      s.older = std::exchange(s.recent, {});
+      s.swapped = now;
+    }
+    std::string id(request);
+    auto [it, fresh] = s.recent.try_emplace(id);
+    if (fresh)
+      if (auto node = s.older.extract(id)) it->second = node.mapped();
+    two = ++it->second.out > 1;
+    attempts = ++it->second.attempts;
+  }
+  if (two)
+    breach(Rule::kTwoOut, fmt::format("request {} at {} while another attempt is out", request, server));
+  if (attempts > limits_.attempts)
+    breach(Rule::kTooMany, fmt::format("request {} sent {} times", request, attempts));
+  if (!drains_.load(std::memory_order_acquire)) return;
+  std::lock_guard lock(mutex_);
+  auto it = told_.find(std::string(server));
+  if (it == told_.end() || it->second.takes) return;
+  it->second.last_send = std::max(it->second.last_send, begun);
+  if (begun - it->second.at <= limits_.drain_grace) return;
+  auto& b = breaches_[Rule::kDrained];
+  b.rule = Rule::kDrained;
+  if (++b.count == 1)
+    b.first = fmt::format("request {} at {}, {} ms after the word", request, server,
+                          (begun - it->second.at).count() / 1000);
+}
+
+void RuleChecker::ended(std::string_view request) {
+  auto& s = shard(request);
+  std::lock_guard lock(s.mutex);
+  std::string id(request);
+  auto it = s.recent.find(id);
+  if (it == s.recent.end()) {
+    it = s.older.find(id);
+    if (it == s.older.end()) return;
+  }
+  --it->second.out;
+}
+
+void RuleChecker::told(Micros now, const std::string& server, bool takes) {
+  std::lock_guard lock(mutex_);
+  auto& t = told_[server];
+  if (t.takes != takes) t = {now, takes, Micros(-1)};
+  if (!takes) drains_.store(true, std::memory_order_release);
+}
+
+void RuleChecker::share(Micros now, std::int64_t set, const std::string& server, double speed) {
+  if (speed < 1) colds_.store(true, std::memory_order_release);
+  if (!colds_.load(std::memory_order_acquire)) return;
+  std::lock_guard lock(mutex_);
+  auto& w = windows_[set];
+  if (now - w.begun >= limits_.cold_window) {
+    judge(w);
+    w = {now, {}};
+  }
+  auto& [count, most] = w.given[server];
+  ++count;
+  most = std::max(most, speed);
+}
+
+// In one window a cold member must not get more than a multiple of what its age leaves of an equal share.
+void RuleChecker::judge(const Window& window) {
+  int warm = 0, warm_requests = 0;
+  for (auto& [server, given] : window.given)
+    if (given.second >= 1) ++warm, warm_requests += given.first;
+  if (warm == 0) return;
+  double equal = static_cast<double>(warm_requests) / warm;
+  for (auto& [server, given] : window.given) {
+    if (given.second >= 1 || given.first < limits_.cold_least) continue;
+    if (given.first <= limits_.cold_multiple * given.second * equal) continue;
+    auto& b = breaches_[Rule::kCold];
+    b.rule = Rule::kCold;
+    if (++b.count == 1)
+      b.first = fmt::format("{} got {} requests in {} ms, its peers {:.0f}, at {:.2f} of its speed", server,
+                            given.first, limits_.cold_window.count() / 1000, equal, given.second);
+  }
+}
+
+std::vector<RuleChecker::Breach> RuleChecker::breaches() const {
+  std::lock_guard lock(mutex_);
+  std::vector<Breach> all;
+  for (auto& [rule, breach] : breaches_) all.push_back(breach);
+  return all;
+}
+
+std::uint64_t RuleChecker::total() const {
+  std::uint64_t sum = 0;
+  for (auto& b : breaches()) sum += b.count;
+  return sum;
+}
+
+std::map<std::string, double> RuleChecker::drain_last_send_ms() const {
+  std::lock_guard lock(mutex_);
+  std::map<std::string, double> result;
+  for (auto& [server, t] : told_)
+    if (!t.takes)
+      result[server] = t.last_send < t.at ? -1 : static_cast<double>((t.last_send - t.at).count()) / 1000;
+  return result;
+}
+
+}  // namespace linenwinch::lab
--- /dev/null
+++ b/src/lab/stand_in.cpp
@@ -0,0 +1,773 @@
+#include "lab/stand_in.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "lab/thread.h"
+#include "net/buffer.h"
+#include "net/socket.h"
+#include "pg/message.h"
+#include "pg/statement.h"
+#include "routing/unix_clock.h"
+
+namespace linenwinch::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLongestMessage = 192 * 1024, kReadCap = 2 * kLongestMessage;
+constexpr Micros kLongestWatch{60'000'000};
+
+std::int64_t unix_ms_at(Micros now) {
+  static const Micros distance = [] {
+    auto wall = std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
+    return wall - net::monotonic_now();
+  }();
+  return (now + distance) / Micros(1000);
+}
+
+void big_endian(std::string& out, std::size_t value, int bytes) {
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>(value >> shift & 0xff));
+}
+
+void message(std::string& out, char type, std::string_view body) {
+  out.push_back(type);
+  big_endian(out, body.size() + 4, 4);
+  out.append(body);
+}
+
+// RowDescription of one bytea column, DataRow, CommandComplete.
+std::string row(std::string_view value) {
+  static const std::string description = [] {
+    std::string column("\0\1content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28), all;
+    message(all, 'T', column);
+    return all;
+  }();
+  std::string out = description, body("\0\1", 2);
+  big_endian(body, value.size(), 4);
+  body += value;
+  message(out, 'D', body);
+  message(out, 'C', std::string_view("SELECT 1\0", 9));
+  return out;
+}
+
+std::string parameter(std::string_view name, std::string_view value) {
+  std::string out, body(name);
+  body.push_back('\0');
+  body += value;
+  body.push_back('\0');
+  message(out, 'S', body);
+  return out;
+}
+
+template <typename T>
+T number(const json& from, const char* key, T otherwise, double least, double most) {
+  if (!from.contains(key)) return otherwise;
+  if (!from.at(key).is_number()) throw std::invalid_argument(fmt::format("{} is no number", key));
+  double value = from.at(key).get<double>();
+  if (!(value >= least && value <= most))
+    throw std::invalid_argument(fmt::format("{} is not between {} and {}", key, least, most));
+  return static_cast<T>(value);
+}
+
+Micros millis(const json& from, const char* key, Micros otherwise) {
+  return Micros(static_cast<std::int64_t>(
+      number<double>(from, key, static_cast<double>(otherwise.count()) / 1000, 0, 3.6e6) * 1000));
+}
+
+}  // namespace
+
+StandInOptions StandInOptions::parse(const json& j) try {
+  static const std::set<std::string> known{"sets",       "replicas",       "connections",     "threads",
+                                           "cpus",       "zones",          "handover_gap_ms", "cores",
+                                           "service_us", "spread",         "write_factor",    "key_window_ms",
+                                           "lag_ms",     "bound_ms",       "cold_share",      "warm_up_ms",
+                                           "check_age",  "discovery_port", "steer_port",      "seed",
+                                           "script"};
+  if (!j.is_object()) throw std::invalid_argument("this is no JSON object");
+  for (auto& [key, value] : j.items())
+    if (!known.count(key)) throw std::invalid_argument("unknown key '" + key + "'");
+  StandInOptions o;
+  o.sets = number(j, "sets", o.sets, 1, 64);
+  o.replicas = number(j, "replicas", o.replicas, 0, 64);
+  o.connections = number(j, "connections", o.connections, 1, 1e5);
+  o.threads = number(j, "threads", o.threads, 1, 64);
+  o.seed = number(j, "seed", o.seed, 0, 1e15);
+  o.discovery_port = number(j, "discovery_port", 0, 0, 65535);
+  o.steer_port = number(j, "steer_port", 0, 0, 65535);
+  o.handover_gap = millis(j, "handover_gap_ms", o.handover_gap);
+  o.key_window = millis(j, "key_window_ms", o.key_window);
+  o.model.cores = number(j, "cores", o.model.cores, 1, 1024);
+  o.model.service_us = number(j, "service_us", o.model.service_us, 0, 1e7);
+  o.model.write_factor = number(j, "write_factor", o.model.write_factor, 0, 1000);
+  o.model.spread = number(j, "spread", o.model.spread, 0, 10);
+  o.model.lag = millis(j, "lag_ms", o.model.lag);
+  o.model.bound = millis(j, "bound_ms", o.model.bound);
+  o.model.warm_up = millis(j, "warm_up_ms", o.model.warm_up);
+  o.model.cold_share = number(j, "cold_share", o.model.cold_share, 0.01, 1);
+  o.model.check_age = j.value("check_age", o.model.check_age);
+  o.zones = j.value("zones", o.zones);
+  o.cpus = j.value("cpus", o.cpus);
+  if (o.zones.empty()) throw std::invalid_argument("zones is empty");
+  for (auto& step : j.value("script", json::array()))
+    o.script.push_back({millis(step, "at_ms", Micros(0)), step});
+  return o;
+} catch (const json::exception& e) {
+  throw std::invalid_argument(e.what());
+}
+
+// ---- data servers
+// ------------------------------------------------------------------------------------------
+
+class StandIn::SetThread : public LoopThread {
+ public:
+  explicit SetThread(int cpu) : LoopThread(cpu, [this] { closed.clear(); }) {}
+  std::vector<std::unique_ptr<net::Handler>> closed;  // until the end of the turn in which they were
+  std::unordered_map<std::string, KeyStore> keys;     // by set
+};
+
+class StandIn::Connection : public net::Handler {
+ public:
+  Connection(DataServer& server, net::Fd fd) : server_(server), fd_(std::move(fd)) {}
+  ~Connection() override;
+  bool start();
+  void on_ready(std::uint32_t events) override;
+  void close(bool reset = false);
+
+ private:
+  void take();
+  void query(std::string_view text);
+  void request(const pg::Statement& statement);
+  void end_attempt();
+  void answer(std::string_view head, bool figures);
+  void error(std::string_view code);
+
+  DataServer& server_;
+  net::Fd fd_;
+  net::InBuffer in_;
+  net::OutBuffer out_;
+  bool started_ = false, turned_away_ = false, inside_ = false;
+  Micros begun_{-1};     // when the first byte of what is unparsed came
+  std::string request_;  // that is out here
+  net::Loop::TimerId done_ = net::Loop::kNoTimer;
+};
+
+class StandIn::DataServer : public net::Handler {
+ public:
+  DataServer(StandIn& lab, SetThread& thread, std::string id, int set, std::uint64_t seed, bool primary)
+      : lab(lab), thread(thread), id(std::move(id)), set(set), model(lab.options_.model, seed, primary) {}
+  ~DataServer() override { shut(true); }
+
+  void listen(int at) {
+    std::string error;
+    listener_ = net::listen_on(*net::parse_address(fmt::format("127.0.0.1:{}", at)), &error);
+    if (!listener_) throw std::runtime_error(fmt::format("server {} cannot listen: {}", id, error));
+    port = net::local_port(listener_.get());
+    thread.loop().add(listener_.get(), this);
+  }
+  void on_ready(std::uint32_t) override {
+    int error = 0;
+    while (auto fd = net::accept_from(listener_.get(), &error)) {
+      auto made = std::make_unique<Connection>(*this, std::move(fd));
+      auto* connection = made.get();
+      ++figures.opened;
+      figures.most_connections = std::max(figures.most_connections, ++figures.connections);
+      connections_.emplace(connection, std::move(made));
+      connection->start();
+    }
+  }
+  void gone(Connection* connection) {
+    auto it = connections_.find(connection);
+    if (it == connections_.end()) return;
+    --figures.connections;
+    thread.closed.push_back(std::move(it->second));
+    connections_.erase(it);
+  }
+  // Its process ends: connections are reset, new ones refused.
+  void shut(bool quiet = false) {
+    if (listener_) thread.loop().remove(listener_.get(), this);
+    listener_.reset();
+    std::vector<Connection*> all;
+    for (auto& [connection, owned] : connections_) all.push_back(connection);
+    for (auto* connection : all) connection->close(true);
+    if (quiet) connections_.clear();
+  }
+  Micros now() const { return thread.loop().now(); }
+  std::int64_t unix_ms() const { return unix_ms_at(now()); }
+
+  StandIn& lab;
+  SetThread& thread;
+  const std::string id;
+  const int set;
+  ServerModel model;
+  ServerFigures figures;
+  int port = 0;
+
+ private:
+  net::Fd listener_;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+};
+
+StandIn::Connection::~Connection() {
+  server_.thread.loop().cancel(&done_);
+  if (fd_) server_.thread.loop().remove(fd_.get(), this);
+}
+
+bool StandIn::Connection::start() {
+  if (server_.thread.loop().add(fd_.get(), this)) return true;
+  close();
+  return false;
+}
+
+void StandIn::Connection::close(bool reset) {
+  if (!fd_) return;
+  end_attempt();
+  if (reset) {
+    linger hard{1, 0};
+    setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  }
+  server_.thread.loop().remove(fd_.get(), this);
+  fd_.reset();
+  server_.gone(this);
+}
+
+// The attempt is over for the proxy. The server goes on with the work of one that was given up, but its time
+// is in the model already.
+void StandIn::Connection::end_attempt() {
+  server_.thread.loop().cancel(&done_);
+  if (std::exchange(inside_, false)) server_.model.leave();
+  if (!request_.empty()) server_.lab.rules_.ended(std::exchange(request_, {}));
+}
+
+void StandIn::Connection::on_ready(std::uint32_t events) {
+  if ((events & EPOLLOUT) && !out_.flush(fd_.get())) return close();
+  if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
+  auto before = in_.view().size();
+  auto end = in_.fill(fd_.get(), kReadCap);
+  if (before == 0 && !in_.view().empty()) begun_ = server_.now();
+  if (server_.model.life() != Life::kSilent) take();
+  if (fd_ && end == net::IoEnd::kClosed) close();
+}
+
+void StandIn::Connection::take() {
+  while (fd_ && request_.empty()) {
+    if (!started_) {
+      pg::FirstMessage first;
+      auto parse = pg::parse_first(in_.view(), &first);
+      if (parse == pg::Parse::kBad) return close();
+      if (parse == pg::Parse::kMore) return;
+      in_.consume(first.size);
+      started_ = true;
+      if (server_.figures.connections > static_cast<int>(server_.lab.options_.connections)) {
+        ++server_.figures.turned_away;
+        out_.write(fd_.get(), {pg::error_response("FATAL", "53300", "too many connections")});
+        return close();
+      }
+      if (!out_.write(fd_.get(), {pg::greeting(1, 2)})) return close();
+      continue;
+    }
+    pg::Frame frame;
+    auto parse = pg::parse_frame(in_.view(), kLongestMessage, &frame);
+    if (parse == pg::Parse::kMore) return;
+    if (parse == pg::Parse::kBad || frame.type != 'Q') return close();
+    if (auto text = pg::text_of_query(frame.body))
+      query(*text);
+    else
+      error("08P01");
+    if (!fd_) return;
+    in_.consume(frame.size);
+    if (!in_.view().empty()) begun_ = server_.now();
+  }
+}
+
+void StandIn::Connection::query(std::string_view text) {
+  if (text == "SHOW usage" || text == "SELECT 1") {
+    ++server_.figures.probes;
+    auto& m = server_.model;
+    auto usage =
+        fmt::format("x0={:.3f},x1={},rif={}", static_cast<double>(m.position(server_.unix_ms())) / 1000,
+                    m.primary() ? 1 : 0, m.inside());
+    return answer(row(text == "SELECT 1" ? "1" : usage), false);
+  }
+  std::string_view why;
+  auto statement = pg::parse_statement(text, &why);
+  switch (statement.kind) {
+    case pg::StatementKind::kEmpty:
+      out_.write(fd_.get(), {pg::empty_query_response(), pg::ready_for_query()});
+      return;
+    case pg::StatementKind::kSession:
+      out_.write(fd_.get(), {pg::command_complete(statement.tag), pg::ready_for_query()});
+      return;
+    case pg::StatementKind::kUnknown:
+      ++server_.figures.malformed;
+      return error("08P01");
+    case pg::StatementKind::kRead:
+    case pg::StatementKind::kWrite:
+      return request(statement);
+  }
+}
+
+void StandIn::Connection::request(const pg::Statement& s) {
+  auto& lab = server_.lab;
+  auto now = server_.now();
+  auto& f = server_.figures;
+  ++f.requests;
+  lab.rules_.attempt(now, begun_, s.id, server_.id);
+  lab.rules_.share(now, server_.set, server_.id, server_.model.speed(now));
+  request_ = s.id;
+  Job job;
+  job.kind = s.kind == pg::StatementKind::kWrite ? Kind::kWrite
+             : s.cls == "browse"                 ? Kind::kBounded
+                                                 : Kind::kOwn;
+  job.after_unix_ms = s.after.value_or(0);
+  auto unix_now = server_.unix_ms();
+  auto admitted = server_.model.arrive(now, unix_now, job);
+  switch (admitted.verdict) {
+    case Verdict::kRun:
+      break;
+    case Verdict::kTurnedAway:
+      ++f.turned_away;
+      return error("53300");
+    case Verdict::kNotPrimary:
+      ++f.not_primary;
+      return error("25006");
+    case Verdict::kTooOld:
+      ++f.too_old;
+      return error("72000");
+    case Verdict::kNever:
+      return;
+  }
+  inside_ = true;
+  auto position = server_.model.position(unix_now);
+  if (!server_.model.primary() && job.kind != Kind::kWrite) {
+    auto needed =
+        job.kind == Kind::kBounded ? unix_now - lab.options_.model.bound / Micros(1000) : job.after_unix_ms;
+    if (position < needed)
+      lab.rules_.breach(Rule::kStale,
+                        fmt::format("request {} at {}, {} ms too old", s.id, server_.id, needed - position));
+  }
+  if (job.kind == Kind::kWrite && s.idempotency_key) {
+    auto& store =
+        server_.thread.keys.try_emplace(std::to_string(server_.set), lab.options_.key_window).first->second;
+    if (store.apply(now, std::hash<std::string_view>{}(*s.idempotency_key)) == KeyStore::Applied::kTwice)
+      lab.rules_.breach(Rule::kKey, fmt::format("key {} at {}", *s.idempotency_key, server_.id));
+  }
+  if (admitted.done <= now) return answer(row(s.id), true);
+  done_ = server_.thread.loop().at(admitted.done, [this] {
+    done_ = net::Loop::kNoTimer;
+    if (server_.model.life() == Life::kSilent) return;
+    answer(row(std::string(request_)), true);
+    if (fd_) take();
+  });
+}
+
+// `figures`: with role and position, as an answer to a request.
+void StandIn::Connection::answer(std::string_view head, bool figures) {
+  static const std::string ready = pg::ready_for_query();
+  std::string tail;
+  if (figures) {
+    static const std::string writer = parameter("server_role", "writer"),
+                             reader = parameter("server_role", "reader");
+    auto& m = server_.model;
+    tail = m.primary() ? writer : reader;
+    tail += parameter("commit_clock", fmt::format_int(m.position(server_.unix_ms())).c_str());
+  }
+  end_attempt();
+  if (!out_.write(fd_.get(), {head, tail, ready})) close();
+}
+
+void StandIn::Connection::error(std::string_view code) {
+  answer(pg::error_response("ERROR", code, "the stand-in says no"), true);
+}
+
+// ---- discovery
+// ----------------------------------------------------------------------------------------------
+
+class StandIn::Discovery : public LoopThread {
+ public:
+  Discovery(StandIn& lab, int port)
+      : LoopThread(-1, [this] { closed_.clear(); }), lab_(lab), on_accept_(*this) {
+    std::string error;
+    listener_ = net::listen_on(*net::parse_address(fmt::format("127.0.0.1:{}", port)), &error);
+    if (!listener_) throw std::runtime_error("discovery cannot listen: " + error);
+    loop().add(listener_.get(), &on_accept_);
+  }
+  ~Discovery() { stop(); }
+  int port() const { return net::local_port(listener_.get()); }
+
+  // In its thread: `entry` is as it stands from now on.
+  void set(json entry) {
+    ++generation_;
+    for (auto& e : entries_)
+      if (e.body.at("instanceId") == entry.at("instanceId")) {
+        e = {generation_, std::move(entry)};
+        return tell();
+      }
+    entries_.push_back({generation_, std::move(entry)});
+    tell();
+  }
+  json entry(const std::string& id) const {
+    for (auto& e : entries_)
+      if (e.body.at("instanceId") == id) return e.body;
+    throw std::invalid_argument("discovery does not list " + id);
+  }
+  json list(std::optional<std::int64_t> after) const {
+    json instances = json::array();
+    for (auto& e : entries_)
+      if (after ? e.generation > *after : e.body.at("lifecycle") != "removed") instances.push_back(e.body);
+    return {{"generation", generation_}, {"reset", !after}, {"instances", std::move(instances)}};
+  }
+  bool mute = false;  // it takes calls and answers none
+
+ private:
+  struct Entry {
+    std::int64_t generation;
+    json body;
+  };
+  class Caller : public net::Handler {
+   public:
+    Caller(Discovery& owner, net::Fd fd) : owner_(owner), fd_(std::move(fd)) {}
+    ~Caller() override { owner_.loop().cancel(&timer_); }
+    void on_ready(std::uint32_t events) override {
+      if ((events & EPOLLOUT) && !out_.flush(fd_.get())) return end();
+      auto closed = in_.fill(fd_.get(), 64 * 1024) == net::IoEnd::kClosed;
+      auto head = in_.view().find("\r\n\r\n");
+      if (head != std::string_view::npos) {
+        auto line = in_.view().substr(0, in_.view().find("\r\n"));
+        after_ = whole(line, "after=");
+        auto wait = whole(line, "wait_ms=").value_or(0);
+        in_.consume(head + 4);
+        waiting_ = true;
+        owner_.loop().cancel(&timer_);
+        if (!after_ || owner_.generation_ > *after_ || wait <= 0)
+          reply();
+        else
+          timer_ = owner_.loop().at(owner_.loop().now() + std::min(Micros(wait * 1000), kLongestWatch),
+                                    [this] { reply(); });
+      }
+      if (closed) end();
+    }
+    void reply() {
+      if (!std::exchange(waiting_, false) || owner_.mute) return;
+      owner_.loop().cancel(&timer_);
+      auto list = owner_.list(after_);
+      auto body = list.dump();
+      auto head = fmt::format(
+          "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.size());
+      auto now = net::monotonic_now();
+      if (!out_.write(fd_.get(), {head, body})) return end();
+      for (auto& e : list.at("instances"))
+        owner_.lab_.rules_.told(now, e.at("instanceId"), e.at("lifecycle") == "up");
+    }
+    void end() {
+      if (!fd_) return;
+      owner_.loop().remove(fd_.get(), this);
+      fd_.reset();
+      auto it = std::find_if(owner_.callers_.begin(), owner_.callers_.end(),
+                             [&](auto& c) { return c.get() == this; });
+      if (it == owner_.callers_.end()) return;
+      owner_.closed_.push_back(std::move(*it));
+      owner_.callers_.erase(it);
+    }
+    bool start() { return owner_.loop().add(fd_.get(), this); }
+
+   private:
+    static std::optional<std::int64_t> whole(std::string_view line, std::string_view name) {
+      auto at = line.find(name);
+      if (at == std::string_view::npos) return std::nullopt;
+      std::int64_t value = 0;
+      auto digits = line.substr(at + name.size());
+      std::from_chars(digits.data(), digits.data() + digits.size(), value);
+      return value;
+    }
+    Discovery& owner_;
+    net::Fd fd_;
+    net::InBuffer in_;
+    net::OutBuffer out_;
+    std::optional<std::int64_t> after_;
+    bool waiting_ = false;
+    net::Loop::TimerId timer_ = net::Loop::kNoTimer;
+  };
+  class OnAccept : public net::Handler {
+   public:
+    explicit OnAccept(Discovery& owner) : owner_(owner) {}
+    void on_ready(std::uint32_t) override {
+      int error = 0;
+      while (auto fd = net::accept_from(owner_.listener_.get(), &error)) {
+        owner_.callers_.push_back(std::make_unique<Caller>(owner_, std::move(fd)));
+        owner_.callers_.back()->start();
+      }
+    }
+
+   private:
+    Discovery& owner_;
+  };
+  void tell() {
+    std::vector<Caller*> all;
+    for (auto& c : callers_) all.push_back(c.get());
+    for (auto* c : all) c->reply();
+  }
+
+  StandIn& lab_;
+  OnAccept on_accept_;
+  net::Fd listener_;
+  std::int64_t generation_ = 1;
+  std::vector<Entry> entries_;
+  std::vector<std::unique_ptr<Caller>> callers_, closed_;
+};
+
+// ---- steering
+// -----------------------------------------------------------------------------------------------
+
+class StandIn::Steering {
+ public:
+  Steering(StandIn& lab, int port) : lab_(lab) {
+    std::string error;
+    listener_ = net::listen_on(*net::parse_address(fmt::format("127.0.0.1:{}", port)), &error);
+    if (!listener_) throw std::runtime_error("steering cannot listen: " + error);
+    thread_ = std::thread([this] { run(); });
+  }
+  ~Steering() {
+    stop_ = true;
+    thread_.join();
+  }
+  int port() const { return net::local_port(listener_.get()); }
+
+ private:
+  // Also plays the script. One steering connection at a time; each line is carried out and answered.
+  void run() {
+    auto began = net::monotonic_now();
+    std::size_t next = 0;
+    net::Fd peer;
+    std::string in;
+    while (!stop_) {
+      auto& script = lab_.options_.script;
+      while (next < script.size() && net::monotonic_now() - began >= script[next].at)
+        carry_out(script[next++].action);
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      int error = 0;
+      if (!peer) peer = net::accept_from(listener_.get(), &error);
+      if (!peer) continue;
+      char chunk[4096];
+      auto n = recv(peer.get(), chunk, sizeof chunk, 0);
+      if (n == 0 || (n < 0 && errno != EAGAIN) || in.size() > 64 * 1024) {
+        peer.reset();
+        in.clear();
+        continue;
+      }
+      if (n > 0) in.append(chunk, static_cast<std::size_t>(n));
+      for (auto end = in.find('\n'); end != std::string::npos; end = in.find('\n')) {
+        auto line = json::parse(in.substr(0, end), nullptr, false);
+        in.erase(0, end + 1);
+        auto answer = carry_out(line).dump() + "\n";
+        [[maybe_unused]] auto sent = send(peer.get(), answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+    }
+  }
+  json carry_out(const json& action) try {
+    if (!action.is_object()) throw std::invalid_argument("this is no JSON object");
+    if (action.value("do", "") == "report") return lab_.report();
+    lab_.steer(action);
+    return {{"ok", true}};
+  } catch (const std::exception& e) {
+    return {{"ok", false}, {"why", e.what()}};
+  }
+  StandIn& lab_;
+  net::Fd listener_;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+// ---- the whole
+// ----------------------------------------------------------------------------------------------
+
+StandIn::StandIn(StandInOptions options) : options_(std::move(options)) {
+  std::stable_sort(options_.script.begin(), options_.script.end(),
+                   [](auto& a, auto& b) { return a.at < b.at; });
+  unix_ms_at(Micros(0));
+  for (int i = 0; i < options_.threads; ++i) {
+    auto& cpus = options_.cpus;
+    threads_.push_back(
+        std::make_unique<SetThread>(cpus.empty() ? -1 : cpus[static_cast<std::size_t>(i) % cpus.size()]));
+    threads_.back()->start();
+  }
+  discovery_ = std::make_unique<Discovery>(*this, options_.discovery_port);
+  discovery_->start();
+  for (int set = 1; set <= options_.sets; ++set)
+    for (int i = 0; i <= options_.replicas; ++i) add(set, i == 0, false);
+  steering_ = std::make_unique<Steering>(*this, options_.steer_port);
+}
+
+StandIn::~StandIn() {
+  steering_.reset();
+  discovery_->stop();
+  for (auto& [id, p] : places_) in(p, [server = p.server] { delete server; });
+  for (auto& thread : threads_) thread->stop();
+}
+
+std::string StandIn::discovery() const { return fmt::format("127.0.0.1:{}", discovery_->port()); }
+std::string StandIn::steering() const { return fmt::format("127.0.0.1:{}", steering_->port()); }
+
+void StandIn::in(const Place& place, const std::function<void()>& call) const { place.thread->call(call); }
+
+void StandIn::add(int set, bool primary, bool cold) {
+  int number = ++numbered_[set];
+  auto id = fmt::format("s{}-{}", set, number);
+  Place p;
+  p.set = set;
+  p.thread = threads_[static_cast<std::size_t>(set) % threads_.size()].get();
+  auto seed =
+      options_.seed * 1000003 + static_cast<std::uint64_t>(set) * 1009 + static_cast<std::uint64_t>(number);
+  int port = 0;
+  in(p, [&] {
+    p.server = new DataServer(*this, *p.thread, id, set, seed, primary);
+    if (cold) p.server->model.restart(p.thread->loop().now());
+    p.server->listen(0);
+    port = p.server->port;
+  });
+  places_[id] = p;
+  if (primary) primaries_[set] = id;
+  json entry = {{"instanceId", id},
+                {"hostPort", fmt::format("127.0.0.1:{}", port)},
+                {"zone", options_.zones[static_cast<std::size_t>(number - 1) % options_.zones.size()]},
+                {"cell", set},
+                {"lifecycle", "up"},
+                {"weight", 1.0},
+                {"startedAtMs", cold ? unix_ms_at(net::monotonic_now()) : 0}};
+  discovery_->call([&] { discovery_->set(entry); });
+}
+
+const StandIn::Place& StandIn::place(const json& action) const {
+  auto id = action.value("server", "");
+  auto it = places_.find(id);
+  if (it == places_.end()) throw std::invalid_argument("no server is named '" + id + "'");
+  return it->second;
+}
+
+void StandIn::steer(const json& action) {
+  std::lock_guard lock(mutex_);
+  auto what = action.value("do", "");
+  auto life = [&](Life to) {
+    auto& p = place(action);
+    in(p, [&] { p.server->model.set_life(to); });
+  };
+  auto listed = [&](const std::string& id, const std::string& lifecycle,
+                    std::optional<std::int64_t> started = {}) {
+    discovery_->call([&] {
+      auto entry = discovery_->entry(id);
+      entry["lifecycle"] = lifecycle;
+      if (started) entry["startedAtMs"] = *started;
+      discovery_->set(entry);
+    });
+  };
+  auto id = action.value("server", "");
+  if (what == "drain") {  // it still finishes and still takes what comes within the grace
+    place(action);
+    listed(id, "draining");
+  } else if (what == "refuse") {
+    life(Life::kDraining);
+  } else if (what == "up") {
+    life(Life::kUp);
+    listed(id, "up");
+  } else if (what == "remove") {
+    place(action);
+    listed(id, "removed");
+  } else if (what == "kill") {
+    auto& p = place(action);
+    in(p, [&] {
+      p.server->model.set_life(Life::kDown);
+      p.server->shut();
+    });
+  } else if (what == "start") {  // after a kill: cold, at the same address
+    auto& p = place(action);
+    in(p, [&] {
+      p.server->model.set_life(Life::kUp);
+      p.server->model.restart(p.server->now());
+      p.server->listen(p.server->port);
+    });
+    listed(id, "up", unix_ms_at(net::monotonic_now()));
+  } else if (what == "silence") {
+    life(Life::kSilent);
+  } else if (what == "speak") {
+    life(Life::kUp);
+  } else if (what == "lag") {
+    auto& p = place(action);
+    auto lag = millis(action, "ms", Micros(0));
+    in(p, [&] { p.server->model.set_lag(lag, p.server->unix_ms()); });
+  } else if (what == "add") {
+    add(number(action, "set", 1, 1, options_.sets), false, action.value("cold", true));
+  } else if (what == "handover") {
+    auto& to = place(action);
+    auto& from = places_.at(primaries_.at(to.set));
+    if (from.server == to.server) throw std::invalid_argument(id + " is the primary");
+    in(from, [&] { from.server->model.set_primary(false, from.server->unix_ms()); });
+    auto gap = millis(action, "gap_ms", options_.handover_gap);
+    in(to, [&] {
+      auto* server = to.server;
+      to.thread->loop().at(to.thread->loop().now() + gap,
+                           [server] { server->model.set_primary(true, server->unix_ms()); });
+    });
+    primaries_[to.set] = id;
+  } else if (what == "discovery") {
+    bool mute = action.value("mute", false);
+    discovery_->call([&] { discovery_->mute = mute; });
+  } else {
+    throw std::invalid_argument("unknown action '" + what + "'");
+  }
+}
+
+std::vector<std::string> StandIn::servers() const {
+  std::lock_guard lock(mutex_);
+  std::vector<std::string> all;
+  for (auto& [id, p] : places_) all.push_back(id);
+  return all;
+}
+
+std::map<std::string, ServerFigures> StandIn::figures() {
+  std::lock_guard lock(mutex_);
+  std::map<std::string, ServerFigures> all;
+  for (auto& [id, p] : places_) in(p, [&, id = id, server = p.server] { all[id] = server->figures; });
+  return all;
+}
+
+std::vector<double> StandIn::thread_cpu_seconds() {
+  std::vector<double> all;
+  for (auto& thread : threads_) {
+    double seconds = 0;
+    thread->call([&] { seconds = lab::thread_cpu_seconds(); });
+    all.push_back(seconds);
+  }
+  return all;
+}
+
+json StandIn::members() {
+  json list;
+  discovery_->call([&] { list = discovery_->list(std::nullopt); });
+  return list;
+}
+
+json StandIn::report() {
+  json servers = json::object(), breaches = json::array();
+  for (auto& [id, f] : figures())
+    servers[id] = {{"requests", f.requests},
+                   {"probes", f.probes},
+                   {"turned_away", f.turned_away},
+                   {"not_primary", f.not_primary},
+                   {"too_old", f.too_old},
+                   {"malformed", f.malformed},
+                   {"connections", f.connections},
+                   {"most_connections", f.most_connections},
+                   {"opened", f.opened}};
+  for (auto& b : rules_.breaches())
+    breaches.push_back({{"rule", name_of(b.rule)}, {"count", b.count}, {"first", b.first}});
+  return {{"servers", servers}, {"breaches", breaches}, {"drain_last_send_ms", rules_.drain_last_send_ms()}};
+}
+
+}  // namespace linenwinch::lab
--- /dev/null
+++ b/src/lab/stand_in.h
@@ -0,0 +1,90 @@
+// Stand-ins for what the daemon talks to: data servers in sets, and discovery with its watch, on loopback
+// ports that the system picks. They behave as src/lab/model.h says, are steered at run time, and check the
+// rules.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "lab/model.h"
+#include "lab/rules.h"
+
+namespace linenwinch::lab {
+
+struct Step {
+  Micros at{0};           // from the start
+  nlohmann::json action;  // {"do":"drain","server":"s1-2"}
+};
+
+struct StandInOptions {
+  int sets = 1, replicas = 2;
+  std::size_t connections = 2000;  // that one server takes; more are turned away with 53300
+  int threads = 1;                 // sets are dealt out over them
+  std::vector<int> cpus;           // threads are pinned to these, in turn; empty: not at all
+  std::vector<std::string> zones{"north-bldg"};
+  Micros handover_gap{300'000};  // without a primary
+  Micros key_window{5'000'000};
+  int discovery_port = 0, steer_port = 0;  // 0: the system picks one
+  std::uint64_t seed = 1;
+  ModelOptions model;
+  std::vector<Step> script;
+
+  // Reads the form of docs/lab.md. Throws std::invalid_argument, naming the key.
+  static StandInOptions parse(const nlohmann::json& json);
+};
+
+struct ServerFigures {
+  std::uint64_t requests = 0, probes = 0, turned_away = 0, not_primary = 0, too_old = 0, malformed = 0,
+                opened = 0;
+  int connections = 0, most_connections = 0;
+};
+
+class StandIn {
+ public:
+  // Listens and runs its threads. Throws std::runtime_error when it cannot.
+  explicit StandIn(StandInOptions options);
+  ~StandIn();
+
+  std::string discovery() const;  // its address
+  std::string steering() const;   // takes a JSON object a line, answers each with one
+  RuleChecker& rules() { return rules_; }
+  std::vector<std::string> servers() const;
+  // Carries out one action; throws std::invalid_argument for one that is unknown or names nothing known.
+  void steer(const nlohmann::json& action);
+  std::map<std::string, ServerFigures> figures();
+  nlohmann::json report();
+  nlohmann::json members();  // the list as discovery gives it
+  std::vector<double> thread_cpu_seconds();
+
+ private:
+  class Discovery;
+  class SetThread;
+  class DataServer;
+  class Connection;
+  class Steering;
+  struct Place {
+    SetThread* thread = nullptr;
+    DataServer* server = nullptr;
+    int set = 0;
+  };
+  const Place& place(const nlohmann::json& action) const;
+  void add(int set, bool primary, bool cold);
+  void in(const Place& place, const std::function<void()>& call) const;
+
+  StandInOptions options_;
+  RuleChecker rules_;
+  std::vector<std::unique_ptr<SetThread>> threads_;
+  std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Steering> steering_;
+  mutable std::mutex mutex_;  // of steer() and what it changes
+  std::map<std::string, Place> places_;
+  std::map<int, int> numbered_;  // servers ever made, by set
+  std::map<int, std::string> primaries_;
+};
+
+}  // namespace linenwinch::lab
--- /dev/null
+++ b/src/lab/thread.h
@@ -0,0 +1,38 @@
+// A thread with a loop of its own, for the lab.
+#pragma once
+
+#include <future>
+#include <memory>
+#include <thread>
+
+#include "workers/mailbox.h"
+
+namespace linenwinch::lab {
+
+// Pins the calling thread; false where the system does not let it.
+bool pin_to(int cpu);
+double thread_cpu_seconds();  // of the calling thread
+
+class LoopThread {
+ public:
+  // `end_of_turn` runs after each turn, in the thread. `cpu` -1: not pinned.
+  explicit LoopThread(
+      int cpu = -1, std::function<void()> end_of_turn = [] {});
+  ~LoopThread() { stop(); }
+  net::Loop& loop() { return loop_; }
+  void start();
+  void stop();  // and joins; harmless when it has stopped
+  void post(std::function<void()> call) { mailbox_.post(std::move(call)); }
+  // Runs it in the thread and waits for it; in the thread itself, at once.
+  void call(const std::function<void()>& what);
+
+ private:
+  net::Loop loop_;
+  workers::Mailbox mailbox_;
+  std::function<void()> end_of_turn_;
+  int cpu_;
+  std::thread thread_;
+  std::thread::id id_;
+};
+
+}  // namespace linenwinch::lab
--- a/src/settings.cpp
+++ b/src/module/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "module/settings.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <system_error>
 
+#include "net/wake.h"
+
 namespace linenwinch::net {
 
 Micros monotonic_now() {
@@ -54,11 +56,26 @@
   return static_cast<int>(std::clamp<std::int64_t>((left + 999) / 1000, 0, 1000));
 }
 
+int Loop::sleep(int milliseconds) {
+  auto most = static_cast<int>(batch_.size());
+  if (fine_ && milliseconds > 0 && !timers_.empty()) {
+    auto left = std::clamp<std::int64_t>((timers_.begin()->first.first - now_).count(), 0, 1'000'000);
+    timespec t{left / 1'000'000, left % 1'000'000 * 1000};
+    int n = epoll_pwait2(epoll_.get(), batch_.data(), most, &t, nullptr);
+    if (n >= 0 || errno == EINTR) return n;
+    fine_ = false;  // this kernel does not know it
+  }
+  return epoll_wait(epoll_.get(), batch_.data(), most, milliseconds);
+}
+
 void Loop::run(const std::function<void()>& end_of_turn) {
   now_ = monotonic_now();
   end_of_turn();
   while (!stopped_) {
-    int n = epoll_wait(epoll_.get(), batch_.data(), static_cast<int>(batch_.size()), wait_ms());
+    int wait = wait_ms();
+    if (wake_ && wait != 0 && !wake_->may_sleep()) wait = 0;
+    int n = sleep(wait);
+    if (wake_) wake_->awake();
     if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
     now_ = std::max(now_, monotonic_now());
     ++turn_;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -25,6 +25,8 @@
   virtual void on_ready(std::uint32_t events) = 0;
 };
 
+class Wake;
+
 class Loop {
  public:
   using TimerId = std::pair<Micros, std::uint64_t>;
@@ -45,16 +47,25 @@
   void again(Handler* handler) { again_.push_back(handler); }
   std::uint64_t turn() const { return turn_; }
 
+  // Another thread's means to end this loop's sleep; nullptr: none. Not owned.
+  void set_wake(Wake* wake) { wake_ = wake; }
+
+  // Sleeps end within some ten microseconds of a timer instead of within a millisecond. Costs a second system
+  // call where the kernel does not know epoll_pwait2.
+  void set_fine(bool fine) { fine_ = fine; }
+
   // `end_of_turn` runs after the events and timers of each turn, and once before the first wait.
   void run(const std::function<void()>& end_of_turn);
   void stop() { stopped_ = true; }
 
  private:
   int wait_ms() const;
+  int sleep(int milliseconds);
 
   Fd epoll_;
+  Wake* wake_ = nullptr;
   Micros now_;
-  bool stopped_ = false;
+  bool stopped_ = false, fine_ = false;
   std::size_t watched_ = 0;
   std::uint64_t next_timer_ = 1;
   std::map<TimerId, std::function<void()>> timers_;
--- /dev/null
+++ b/src/net/wake.h
@@ -0,0 +1,47 @@
+// How one thread tells another's loop that something waits for it. A write to the kernel is spent only where
+// the other side sleeps or is about to.
+#pragma once
+
+#include <atomic>
+#include <functional>
+
+#include "net/fd.h"
+#include "net/loop.h"
+
+namespace linenwinch::net {
+
+// Owned by the thread that sleeps and registered with its loop; notify() may be called from any thread.
+class Wake : public Handler {
+ public:
+  // `waiting` says whether there is work that nobody was notified of; it runs in the loop's own thread.
+  // Throws std::system_error when the kernel gives no descriptor.
+  Wake(Loop& loop, std::function<bool()> waiting);
+  ~Wake() override;
+  Wake(const Wake&) = delete;
+  Wake& operator=(const Wake&) = delete;
+
+  // After the work has been made visible. Both sides use read-modify-write operations on the same flag:
+  // either the sleeper sees the work, or this call sees that it sleeps.
+  void notify() {
+    if (sleeping_.exchange(false, std::memory_order_acq_rel)) signal();
+  }
+  // By the loop: false where work waits, so that it must not sleep.
+  bool may_sleep() {
+    sleeping_.exchange(true, std::memory_order_acq_rel);
+    if (!waiting_()) return true;
+    awake();
+    return false;
+  }
+  void awake() { sleeping_.store(false, std::memory_order_relaxed); }
+  void on_ready(std::uint32_t events) override;
+
+ private:
+  void signal();
+
+  Loop& loop_;
+  std::function<bool()> waiting_;
+  Fd event_;
+  std::atomic<bool> sleeping_{false};
+};
+
+}  // namespace linenwinch::net
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "settings.h"
+#include "module/settings.h"
 
 namespace linenwinch::routing {
 namespace {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,5 +1,5 @@
 // Parsing and printing of the wire.
-#include "wire.h"
+#include "drill/wire.h"
 
 #include "support.h"
 
