Lab: the experiment cores, one worker and several, as JSON, table and charts

Need: figures that show what each way of sharing costs, against an earlier build too.

Change: linenwinch_lab cores runs the same load, closed and open loop, against 1, 2 and 4 workers, shared and split, in interleaved rounds with the parts pinned; it drains a server in the middle and counts probes, connections, breaches, and what each thread had free. The operator's file can set the congestion control of sockets.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -14,6 +14,7 @@
 #include "app/config.h"
 #include "app/logger.h"
 #include "app/operator_file.h"
+#include "net/socket.h"
 #include "proxy/proxy.h"
 #include "workers/group.h"
 
@@ -139,6 +140,10 @@
   Logger logger(config.name, told.own.log);
   auto log = logger.sink();
   for (auto& line : warnings(told.own)) log(net::Level::kWarning, line);
+  if (!net::set_congestion_control(told.own.congestion))
+    throw std::runtime_error(
+        fmt::format("operator's file {}: network.congestion: the kernel does not offer '{}'",
+                    told.operator_path, told.own.congestion));
   if (told.own.workers.count > 1) return serve_with_workers(told, logger, log);
   net::Loop loop;
   routing::Facade facade(config.settings, config.seed, routing::UnixClock::measured(),
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -76,6 +76,7 @@
     o.connections_per_server = w.value("connections_per_server", o.connections_per_server);
     o.cpus = w.value("cpus", o.cpus);
   }
+  if (root.contains("network")) file.congestion = root.at("network").value("congestion", "");
   if (root.contains("log")) {
     auto& l = root.at("log");
     file.log.json = l.value("format", "text") == "json";
@@ -112,14 +113,15 @@
 std::string needs_restart(const OperatorFile& running, const OperatorFile& read) {
   std::string keys;
   auto differs = [&](bool does, const char* key) {
-    if (does) keys += (keys.empty() ? "workers." : ", workers.") + std::string(key);
+    if (does) keys += (keys.empty() ? "" : ", ") + std::string(key);
   };
   auto &a = running.workers, &b = read.workers;
-  differs(a.count != b.count, "count");
-  differs(a.decisions != b.decisions, "decisions");
-  differs(a.accept != b.accept, "accept");
-  differs(a.share_probes != b.share_probes, "share_probes");
-  differs(a.cpus != b.cpus, "cpus");
+  differs(a.count != b.count, "workers.count");
+  differs(a.decisions != b.decisions, "workers.decisions");
+  differs(a.accept != b.accept, "workers.accept");
+  differs(a.share_probes != b.share_probes, "workers.share_probes");
+  differs(a.cpus != b.cpus, "workers.cpus");
+  differs(running.congestion != read.congestion, "network.congestion");
   return keys;
 }
 
--- a/src/app/operator_file.h
+++ b/src/app/operator_file.h
@@ -14,6 +14,7 @@
 struct OperatorFile {
   workers::GroupOptions workers;
   LogOptions log;
+  std::string congestion;  // of sockets; empty: the system's own
 };
 
 // Throw ConfigError with one line: the path of the first key that is wrong, why, and how many more are.
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -6,16 +6,20 @@
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 
+#include "lab/cores.h"
 #include "lab/daemon.h"
 #include "lab/load.h"
+#include "lab/report.h"
 #include "lab/stand_in.h"
 
 namespace linenwinch::lab {
@@ -33,12 +37,6 @@
   return value;
 }
 
-void write_text(const std::string& path, const std::string& text) {
-  std::ofstream file(path, std::ios::trunc);
-  file << text;
-  if (!file.flush()) throw std::runtime_error("cannot write " + path);
-}
-
 // Parses, or prints the help of one sub-command and says so with nullopt.
 std::optional<po::variables_map> parse(const Arguments& arguments, const po::options_description& options,
                                        const char* usage) {
@@ -68,16 +66,16 @@
   auto file = given->count("file") ? read_json((*given)["file"].as<std::string>()) : json::object();
   StandIn lab(StandInOptions::parse(file));
   if (given->count("write-config"))
-    write_text((*given)["write-config"].as<std::string>(),
-               json({{"name", "lab"},
-                     {"listen", (*given)["listen"].as<std::string>()},
-                     {"discovery", lab.discovery()},
-                     {"seed", "1"},
-                     {"limits", {{"sockets", 1024}, {"memory_mb", 256}}},
-                     {"known", lab.members()},
-                     {"settings", lab_settings()}})
-                       .dump(1) +
-                   "\n");
+    write_whole((*given)["write-config"].as<std::string>(),
+                json({{"name", "lab"},
+                      {"listen", (*given)["listen"].as<std::string>()},
+                      {"discovery", lab.discovery()},
+                      {"seed", "1"},
+                      {"limits", {{"sockets", 1024}, {"memory_mb", 256}}},
+                      {"known", lab.members()},
+                      {"settings", lab_settings()}})
+                        .dump(1) +
+                    "\n");
   std::cout << fmt::format("discovery {}\nsteering {}\nservers {}\n", lab.discovery(), lab.steering(),
                            fmt::join(lab.servers(), " "))
             << std::flush;
@@ -155,20 +153,110 @@
     result["by_class"][name] = {{"p50_ms", percentile(h, 0.5) / 1000},
                                 {"p99_ms", percentile(h, 0.99) / 1000}};
   std::cout << result.dump(1) << "\n";
-  if (g.count("json")) write_text(g["json"].as<std::string>(), result.dump(1) + "\n");
+  if (g.count("json")) write_whole(g["json"].as<std::string>(), result.dump(1) + "\n");
   return rules.total() == 0 && f.served > 0 ? 0 : 2;
 }
 
+// A folder of its own for a daemon's files, gone at the end.
+class ScratchFolder {
+ public:
+  ScratchFolder() {
+    auto pattern = (std::filesystem::temp_directory_path() / "linenwinch-XXXXXX").string();
+    if (!mkdtemp(pattern.data())) throw std::runtime_error("cannot make a folder for the daemon's files");
+    path_ = pattern;
+  }
+  ~ScratchFolder() {
+    std::error_code none;
+    std::filesystem::remove_all(path_, none);
+  }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+// The daemon that was built beside this program.
+std::string daemon_beside() {
+  std::error_code none;
+  auto own = std::filesystem::read_symlink("/proc/self/exe", none);
+  return (own.parent_path() / "linenwinch").string();
+}
+
+std::vector<int> numbers(const std::string& text) {
+  std::vector<int> all;
+  std::stringstream in(text);
+  for (std::string part; std::getline(in, part, ',');) all.push_back(std::stoi(part));
+  return all;
+}
+
+int cores(const Arguments& arguments) {
+  po::options_description o;
+  o.add_options()("program", po::value<std::string>()->default_value(daemon_beside()), "the daemon")(
+      "baseline", po::value<std::string>()->default_value(""), "an earlier build, measured beside it")(
+      "quick", "one short round: ends within 50 s")("rounds", po::value<int>()->default_value(5), "rounds")(
+      "seconds", po::value<double>()->default_value(3), "of each measurement")(
+      "rate", po::value<double>()->default_value(5000), "open loop: requests a second for each worker")(
+      "workers", po::value<std::string>()->default_value("1,2,4"), "how many, in turn")(
+      "cpus", po::value<std::string>()->default_value(""),
+      "processors to use, such as 0,1,2,3; all by default")("connections",
+                                                            po::value<int>()->default_value(64), "clients")(
+      "depth", po::value<int>()->default_value(16), "requests that each has out")(
+      "seed", po::value<std::uint64_t>()->default_value(1), "of all random numbers")(
+      "json", po::value<std::string>(), "write the list of rows to this file")(
+      "folder", po::value<std::string>(), "write JSON, table and charts into this folder");
+  auto given = parse(arguments, o, "cores [options]: one worker and several, shared and split");
+  if (!given) return 0;
+  auto& g = *given;
+  ScratchFolder scratch;
+  CoresOptions options;
+  options.program = g["program"].as<std::string>();
+  options.baseline = g["baseline"].as<std::string>();
+  options.folder = scratch.path();
+  options.rounds = std::clamp(g["rounds"].as<int>(), 1, 100);
+  options.seconds = std::clamp(g["seconds"].as<double>(), 0.5, 60.0);
+  options.rate_per_worker = std::clamp(g["rate"].as<double>(), 10.0, 1e5);
+  options.workers = numbers(g["workers"].as<std::string>());
+  if (options.workers.empty() || *std::min_element(options.workers.begin(), options.workers.end()) < 1 ||
+      *std::max_element(options.workers.begin(), options.workers.end()) > 64)
+    throw std::runtime_error("workers must be numbers from 1 to 64");
+  if (!std::count(options.workers.begin(), options.workers.end(), 1))
+    options.workers.insert(options.workers.begin(), 1);
+  options.cpus = numbers(g["cpus"].as<std::string>());
+  options.connections = std::clamp(g["connections"].as<int>(), 1, 5000);
+  options.depth = std::clamp(g["depth"].as<int>(), 1, 32);
+  options.seed = g["seed"].as<std::uint64_t>();
+  if (g.count("quick")) {
+    options.rounds = 1;
+    options.seconds = 1.5;
+    options.warm_up = 0.4;
+  }
+  auto result = run_cores(options);
+  if (g.count("json")) write_whole(g["json"].as<std::string>(), result.at("rows").dump(1) + "\n");
+  if (g.count("folder")) {
+    std::string command = "linenwinch_lab cores";
+    for (auto& a : arguments) command += " " + a;
+    std::filesystem::create_directories(g["folder"].as<std::string>());
+    write_cores(result, g["folder"].as<std::string>(), command);
+  }
+  std::uint64_t breaches = 0;
+  for (auto& row : result.at("rows")) breaches += row.at("rule_breaches").get<std::uint64_t>();
+  std::cout << result.at("rows").dump(1) << "\n" << result.at("ratios").dump(1) << "\n";
+  return breaches == 0 ? 0 : 2;
+}
+
 }  // namespace
 
 int run_command_line(int argc, char** argv) try {
   signal(SIGPIPE, SIG_IGN);
+  // Over loopback the rig must not be what is measured: reno sends at once, where bbr would pace.
+  net::set_congestion_control("reno");
   struct Command {
     std::function<int(const Arguments&)> run;
     const char* what;
   };
   const std::map<std::string, Command> commands{
       {"stand-in", {stand_in, "data servers and discovery on loopback, steered by a script or at run time"}},
+      {"cores", {cores, "experiment: one worker and several, decisions shared and split"}},
       {"load", {load, "clients that ask a daemon, open or closed loop"}}};
   std::string name = argc > 1 ? argv[1] : "help";
   if (name == "help" || name == "--help" || name == "-h") {
--- /dev/null
+++ b/src/lab/cores.cpp
@@ -0,0 +1,350 @@
+#include "lab/cores.h"
+
+#include <fmt/format.h>
+#include <sched.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "lab/daemon.h"
+#include "lab/load.h"
+#include "lab/report.h"
+#include "lab/stand_in.h"
+
+namespace linenwinch::lab {
+namespace {
+
+using nlohmann::json;
+
+struct Way {
+  std::string name, decisions;  // decisions: "one", "shared", "split"
+  int workers = 1;
+  bool baseline = false, accept_by_kernel = false;
+};
+
+std::vector<int> own_cpus() {
+  cpu_set_t set;
+  CPU_ZERO(&set);
+  std::vector<int> all;
+  if (sched_getaffinity(0, sizeof set, &set) != 0) return {0};
+  for (int i = 0; i < CPU_SETSIZE; ++i)
+    if (CPU_ISSET(static_cast<std::size_t>(i), &set)) all.push_back(i);
+  return all;
+}
+
+// Share of the processors' time that the host gave to others since the last call, in percent.
+class Stolen {
+ public:
+  double since_last() {
+    std::ifstream stat("/proc/stat");
+    std::string word;
+    stat >> word;
+    double all = 0, stolen = 0, value = 0;
+    for (int i = 0; i < 8 && stat >> value; ++i) {
+      all += value;
+      if (i == 7) stolen = value;
+    }
+    double share = all > all_ ? (stolen - stolen_) / (all - all_) * 100 : 0;
+    all_ = all;
+    stolen_ = stolen;
+    return share;
+  }
+
+ private:
+  double all_ = 0, stolen_ = 0;
+};
+
+json measure(const CoresOptions& o, const Way& way, double rate, std::uint64_t seed) {
+  auto most = *std::max_element(o.workers.begin(), o.workers.end());
+  auto layout = lay_out(o.cpus, way.workers, way.decisions == "shared", most);
+  StandInOptions servers;
+  servers.sets = o.sets;
+  servers.replicas = o.replicas;
+  servers.threads = static_cast<int>(layout.stand_in.size());
+  servers.cpus = layout.stand_in;
+  servers.seed = seed;
+  StandIn stand_in(servers);
+  DaemonOptions d;
+  d.program = way.baseline ? o.baseline : o.program;
+  d.folder = o.folder;
+  d.discovery = stand_in.discovery();
+  d.known = stand_in.members();
+  d.cpus = way.workers == 1 ? std::vector<int>{layout.daemon.front()} : layout.daemon;
+  d.seed = seed;
+  if (way.workers > 1)
+    d.operator_file = {{"workers",
+                        {{"count", way.workers},
+                         {"decisions", way.decisions},
+                         {"accept", way.accept_by_kernel ? "reuseport" : "deal"},
+                         {"cpus", layout.daemon}}}};
+  Daemon daemon(d);
+  LoadOptions load;
+  load.target = *net::parse_address(fmt::format("127.0.0.1:{}", daemon.port()));
+  load.threads = static_cast<int>(layout.load.size());
+  load.cpus = layout.load;
+  load.connections = o.connections;
+  load.depth = o.depth;
+  load.rate = rate;
+  load.warm_up = Micros(static_cast<std::int64_t>(o.warm_up * 1e6));
+  load.length = Micros(static_cast<std::int64_t>(o.seconds * 1e6));
+  load.seed = seed;
+  load.rules = &stand_in.rules();
+  load.sets.clear();
+  for (int i = 1; i <= o.sets; ++i) load.sets.push_back(i);
+
+  // Beside the load: what the daemon and the rig used from the warm-up to the end, and a drain in the middle.
+  Daemon::Usage before, after;
+  std::map<std::string, ServerFigures> servers_before, servers_after;
+  std::vector<double> rig_before, rig_after;
+  Stolen stolen;
+  double stolen_share = 0;
+  std::chrono::steady_clock::time_point began, ended;
+  std::thread observer([&] {
+    auto seconds = [](double s) { return std::chrono::duration<double>(s); };
+    std::this_thread::sleep_for(seconds(o.warm_up));
+    began = std::chrono::steady_clock::now();
+    stolen.since_last();
+    before = daemon.usage();
+    rig_before = stand_in.thread_cpu_seconds();
+    servers_before = stand_in.figures();
+    std::this_thread::sleep_for(seconds(o.seconds * 0.95));
+    after = daemon.usage();
+    rig_after = stand_in.thread_cpu_seconds();
+    servers_after = stand_in.figures();
+    stolen_share = stolen.since_last();
+    ended = std::chrono::steady_clock::now();
+  });
+  std::thread drainer([&] {
+    std::this_thread::sleep_for(std::chrono::duration<double>(o.warm_up + o.seconds * 0.5));
+    stand_in.steer({{"do", "drain"}, {"server", "s1-2"}});
+  });
+  auto figures = run_load(load);
+  observer.join();
+  drainer.join();
+  double seconds = std::chrono::duration<double>(ended - began).count();
+  double requests = 0, probes = 0, connections = 0;
+  for (auto& [id, f] : servers_after) {
+    requests += static_cast<double>(f.requests - servers_before[id].requests);
+    probes += static_cast<double>(f.probes - servers_before[id].probes);
+    connections += f.most_connections;
+  }
+  auto count = static_cast<double>(servers_after.size());
+  double cpu = after.cpu_seconds - before.cpu_seconds;
+  json threads = json::object();
+  double idlest = 1;
+  for (auto& [name, used] : after.threads) {
+    double share = 1 - (used - before.threads[name]) / seconds;
+    if (used - before.threads[name] > 0.01 * seconds) threads[name] = share;
+    if (name.starts_with("worker") || way.workers == 1) idlest = std::min(idlest, share);
+  }
+  double rig_free = 1, load_free = 1;
+  for (std::size_t i = 0; i < rig_after.size(); ++i)
+    rig_free = std::min(rig_free, 1 - (rig_after[i] - rig_before[i]) / seconds);
+  for (double used : figures.cpu_seconds) load_free = std::min(load_free, 1 - used / figures.seconds);
+  auto drains = stand_in.rules().drain_last_send_ms();
+  json breaches = json::array();
+  for (auto& b : stand_in.rules().breaches())
+    breaches.push_back({{"rule", name_of(b.rule)}, {"count", b.count}, {"first", b.first}});
+  return {{"way", way.name},
+          {"workers", way.workers},
+          {"decisions", way.decisions},
+          {"offered", rate},
+          {"rps", static_cast<double>(figures.served) / figures.seconds},
+          {"p50_ms", percentile(figures.all, 0.5) / 1000},
+          {"p99_ms", percentile(figures.all, 0.99) / 1000},
+          {"cpu_us_per_request", requests > 0 ? cpu / requests * 1e6 : 0},
+          {"rss_mb", after.rss_mb},
+          {"probes_per_server_per_s", probes / count / seconds},
+          {"connections_per_server", connections / count},
+          {"drain_last_send_ms", drains.empty() ? -1 : drains.begin()->second},
+          {"rule_breaches", stand_in.rules().total()},
+          {"refused", figures.refused},
+          {"failed", figures.failed},
+          {"unanswered", figures.unanswered},
+          {"free_busiest_worker", idlest},
+          {"free_decisions", threads.contains("decisions") ? threads["decisions"] : json()},
+          {"free_stand_in", rig_free},
+          {"free_load", load_free},
+          {"stolen_percent", stolen_share},
+          {"crowded", layout.crowded},
+          {"threads_free", threads},
+          {"breaches", breaches}};
+}
+
+// Medians of all numbers over the rounds of one way and offer.
+json medians(const std::vector<json>& runs) {
+  json row = runs.front();
+  for (auto& [key, value] : row.items()) {
+    if (!value.is_number()) continue;
+    std::vector<double> values;
+    double most = 0;
+    for (auto& run : runs) {
+      if (!run.at(key).is_number()) continue;
+      values.push_back(run.at(key).get<double>());
+      most = std::max(most, values.back());
+    }
+    // A breach in any round is a breach; and of drains the worst counts.
+    value = key == "rule_breaches" || key == "drain_last_send_ms" ? most : median(values);
+  }
+  row.erase("threads_free");
+  row.erase("breaches");
+  row["runs"] = runs.size();
+  return row;
+}
+
+}  // namespace
+
+Layout lay_out(const std::vector<int>& cpus, int workers, bool decision_thread, int most_workers) {
+  Layout layout;
+  auto n = static_cast<int>(cpus.size());
+  // The rig has the last processors, the same ones for every way: three of eight, one or two of fewer.
+  int rig = n >= 8 ? 3 : n >= 4 ? 2 : 1;
+  int first_rig = std::max(0, n - rig);
+  for (int i = 0; i < workers + (decision_thread ? 1 : 0); ++i) {
+    layout.crowded |= i >= first_rig;
+    layout.daemon.push_back(cpus[static_cast<std::size_t>(std::min(i, n - 1))]);
+  }
+  layout.crowded |= most_workers > first_rig;
+  int stand_in = rig >= 3 ? 2 : 1;
+  for (int i = 0; i < stand_in; ++i)
+    layout.stand_in.push_back(cpus[static_cast<std::size_t>(std::min(first_rig + i, n - 1))]);
+  layout.load.push_back(cpus.back());
+  return layout;
+}
+
+json run_cores(const CoresOptions& given) {
+  auto o = given;
+  if (o.cpus.empty()) o.cpus = own_cpus();
+  std::vector<Way> ways;
+  if (!o.baseline.empty()) ways.push_back({"baseline", "one", 1, true, false});
+  for (int workers : o.workers) {
+    if (workers == 1) {
+      ways.push_back({"1", "one", 1, false, false});
+      continue;
+    }
+    ways.push_back({fmt::format("{} shared", workers), "shared", workers, false, false});
+    ways.push_back({fmt::format("{} split", workers), "split", workers, false, false});
+  }
+  std::map<std::string, std::vector<json>> runs;  // by way and offer
+  std::vector<std::string> order;
+  json rounds = json::array();
+  std::mt19937_64 random(o.seed);
+  for (int round = 0; round < o.rounds; ++round) {
+    auto shuffled = ways;
+    std::shuffle(shuffled.begin(), shuffled.end(), random);
+    for (auto& way : shuffled)
+      for (double rate : {0.0, o.rate_per_worker * way.workers}) {
+        auto run = measure(o, way, rate, o.seed * 100 + static_cast<std::uint64_t>(round));
+        fmt::print(stderr, "round {} {:10} {:9}: {:7.0f} rps, p99 {:6.1f} ms, {:5.1f} us, {} breaches\n",
+                   round + 1, way.name, rate > 0 ? fmt::format("{:.0f}/s", rate) : "closed",
+                   run["rps"].get<double>(), run["p99_ms"].get<double>(),
+                   run["cpu_us_per_request"].get<double>(), run["rule_breaches"].get<std::uint64_t>());
+        run["round"] = round + 1;
+        runs[way.name + (rate > 0 ? " open" : " closed")].push_back(run);
+        rounds.push_back(std::move(run));
+      }
+  }
+  json rows = json::array();
+  for (const char* loop : {" closed", " open"})
+    for (auto& way : ways) rows.push_back(medians(runs.at(way.name + loop)));
+
+  // Pair by pair within each round, so that drift takes no part.
+  json ratios = json::object();
+  auto ratio = [&](const std::string& a, const std::string& b, const char* key) {
+    std::vector<double> all;
+    auto &x = runs[a], &y = runs[b];
+    for (std::size_t i = 0; i < std::min(x.size(), y.size()); ++i)
+      if (y[i].at(key).get<double>() > 0)
+        all.push_back(x[i].at(key).get<double>() / y[i].at(key).get<double>());
+    ratios[fmt::format("{}: {} / {}", key, a, b)] = median(all);
+  };
+  for (auto& way : ways) {
+    if (way.name == "1") continue;
+    ratio(way.name + " closed", "1 closed", "rps");
+    ratio(way.name + " closed", "1 closed", "cpu_us_per_request");
+    ratio(way.name + " open", "1 open", "cpu_us_per_request");
+    ratio(way.name + " open", "1 open", "probes_per_server_per_s");
+    ratio(way.name + " open", "1 open", "p99_ms");
+  }
+  return {{"machine", machine()},
+          {"cpus", o.cpus},
+          {"seed", o.seed},
+          {"rounds", rounds},
+          {"rows", rows},
+          {"ratios", ratios},
+          {"options",
+           {{"rounds", o.rounds},
+            {"seconds", o.seconds},
+            {"sets", o.sets},
+            {"replicas", o.replicas},
+            {"connections", o.connections},
+            {"depth", o.depth},
+            {"rate_per_worker", o.rate_per_worker}}}};
+}
+
+void write_cores(const json& result, const std::string& folder, const std::string& command) {
+  auto& machine = result.at("machine");
+  std::string text = fmt::format(
+      "# Cores\n\n`{}`\n\n{}, {} cores (processors {} used), {}, {}, {}; seed {}. Medians over {} rounds of "
+      "{} s; the "
+      "worst drain.\n{} sets of 1 + {} data servers that answer at once; {} clients with {} requests out "
+      "each "
+      "(closed loop), or {} requests a second for each worker (open loop).\n\n",
+      command, machine.at("processor").get<std::string>(), machine.at("cores").get<int>(),
+      fmt::join(result.at("cpus").get<std::vector<int>>(), " "), machine.at("system").get<std::string>(),
+      machine.at("compiler").get<std::string>(), machine.at("date").get<std::string>(),
+      result.at("seed").get<std::uint64_t>(), result.at("options").at("rounds").get<int>(),
+      result.at("options").at("seconds").get<double>(), result.at("options").at("sets").get<int>(),
+      result.at("options").at("replicas").get<int>(), result.at("options").at("connections").get<int>(),
+      result.at("options").at("depth").get<int>(), result.at("options").at("rate_per_worker").get<double>());
+  text += markdown_table({{"way", "workers"},
+                          {"offered", "offered /s"},
+                          {"rps", "served /s"},
+                          {"p50_ms", "p50 ms", 2},
+                          {"p99_ms", "p99 ms", 2},
+                          {"cpu_us_per_request", "CPU us / request", 1},
+                          {"rss_mb", "MB", 1},
+                          {"probes_per_server_per_s", "probes / server s", 2},
+                          {"connections_per_server", "connections / server", 1},
+                          {"drain_last_send_ms", "last send after drain ms", 1},
+                          {"rule_breaches", "breaches"}},
+                         result.at("rows"));
+  text +=
+      "\nOffered 0 is the closed loop. What each part had free (share of its processor), and what the host "
+      "took:\n\n";
+  text += markdown_table({{"way", "workers"},
+                          {"offered", "offered /s"},
+                          {"free_busiest_worker", "busiest worker", 2},
+                          {"free_decisions", "decision thread", 2},
+                          {"free_stand_in", "stand-ins", 2},
+                          {"free_load", "load", 2},
+                          {"stolen_percent", "stolen %", 1}},
+                         result.at("rows"));
+  text += "\nRatios, medians of the pairs within each round:\n\n| what | ratio |\n| --- | --- |\n";
+  for (auto& [name, value] : result.at("ratios").items())
+    text += fmt::format("| {} | {:.2f} |\n", name, value.get<double>());
+  write_whole(folder + "/cores.json", result.dump(1) + "\n");
+  write_whole(folder + "/cores.md", text);
+  Series rps{"closed loop", {}}, cpu{"CPU", {}}, p99{"p99", {}};
+  for (auto& row : result.at("rows")) {
+    auto way = row.at("way").get<std::string>();
+    if (row.at("offered") == 0.0) {
+      rps.bars.emplace_back(way, row.at("rps").get<double>());
+      cpu.bars.emplace_back(way, row.at("cpu_us_per_request").get<double>());
+    } else {
+      p99.bars.emplace_back(way, row.at("p99_ms").get<double>());
+    }
+  }
+  bar_chart(folder + "/throughput.svg", "Requests a second, closed loop", "requests / s", {rps});
+  bar_chart(folder + "/cpu.svg", "CPU time a request, closed loop", "us", {cpu});
+  bar_chart(folder + "/latency.svg", "99th percentile at equal load for each worker", "ms", {p99});
+}
+
+}  // namespace linenwinch::lab
--- a/src/lab/daemon.cpp
+++ b/src/lab/daemon.cpp
@@ -14,6 +14,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include "net/socket.h"
+
 namespace linenwinch::lab {
 namespace {
 
@@ -31,6 +33,15 @@
   if (!file.flush()) throw std::runtime_error("cannot write " + path.string());
 }
 
+// A port that nobody listens on at the moment. Earlier builds don't tell which one the system picked for
+// them.
+int free_port() {
+  std::string error;
+  auto fd = net::listen_on(*net::parse_address("127.0.0.1:0"), &error);
+  if (!fd) throw std::runtime_error("no port is free: " + error);
+  return net::local_port(fd.get());
+}
+
 }  // namespace
 
 json lab_settings() {
@@ -54,7 +65,7 @@
   auto settings = lab_settings();
   if (!options.settings.is_null()) settings.merge_patch(options.settings);
   json config = {{"name", "lab"},
-                 {"listen", "127.0.0.1:0"},
+                 {"listen", fmt::format("127.0.0.1:{}", free_port())},
                  {"discovery", options.discovery},
                  {"seed", fmt::format("{:x}", options.seed)},
                  {"limits", {{"sockets", options.sockets}, {"memory_mb", 2048}}},
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -11,9 +11,17 @@
 namespace linenwinch::net {
 namespace {
 
+std::string& congestion_control() {
+  static std::string name;
+  return name;
+}
+
 void no_delay(int fd) {
   int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (!congestion_control().empty())
+    setsockopt(fd, IPPROTO_TCP, TCP_CONGESTION, congestion_control().data(),
+               static_cast<socklen_t>(congestion_control().size()));
 }
 
 }  // namespace
@@ -44,6 +52,14 @@
   return address;
 }
 
+bool set_congestion_control(const std::string& name) {
+  Fd probe(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  bool good = name.empty() || (probe && setsockopt(probe.get(), IPPROTO_TCP, TCP_CONGESTION, name.data(),
+                                                   static_cast<socklen_t>(name.size())) == 0);
+  if (good) congestion_control() = name;
+  return good;
+}
+
 Fd listen_on(const Address& address, std::string* error, bool shared) {
   Fd fd(socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   int on = 1;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -19,6 +19,11 @@
 // "10.0.0.4:6432" or "[::1]:6432"; nothing else, since there is no DNS.
 std::optional<Address> parse_address(std::string_view text);
 
+// The congestion control of all sockets made from now on, by its name in the kernel; empty: the system's own.
+// Call it before threads start. False, and nothing changes: the kernel has none of this name, or does not
+// allow it.
+bool set_congestion_control(const std::string& name);
+
 // `shared`: several sockets of this process listen there, and the kernel deals clients out (SO_REUSEPORT).
 Fd listen_on(const Address& address, std::string* error, bool shared = false);
 Fd start_connect(const Address& address, int* error);  // an Fd even while EINPROGRESS
