--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -135,7 +135,8 @@
 
 class StandIn::Connection : public net::Handler {
  public:
-  Connection(DataServer& server, net::Fd fd) : server_(server), fd_(std::move(fd)) {}
+  Connection(DataServer& server, net::Loop& loop, net::Fd fd)
+      : server_(server), loop_(loop), fd_(std::move(fd)) {}
   ~Connection() override;
   bool start();
   void on_ready(std::uint32_t events) override;
@@ -150,6 +151,7 @@
   void error(std::string_view code);
 
   DataServer& server_;
+  net::Loop& loop_;  // outlives the server
   net::Fd fd_;
   net::InBuffer in_;
   net::OutBuffer out_;
@@ -175,7 +177,7 @@
   void on_ready(std::uint32_t) override {
     int error = 0;
     while (auto fd = net::accept_from(listener_.get(), &error)) {
-      auto made = std::make_unique<Connection>(*this, std::move(fd));
+      auto made = std::make_unique<Connection>(*this, thread.loop(), std::move(fd));
       auto* connection = made.get();
       ++figures.opened;
       figures.most_connections = std::max(figures.most_connections, ++figures.connections);
@@ -216,8 +218,8 @@
 };
 
 StandIn::Connection::~Connection() {
-  server_.thread.loop().cancel(&done_);
-  if (fd_) server_.thread.loop().remove(fd_.get(), this);
+  loop_.cancel(&done_);
+  if (fd_) loop_.remove(fd_.get(), this);
 }
 
 bool StandIn::Connection::start() {
