Test what goes wrong between workers, wheel timers, one batch a turn for the module

Change: tests on real sockets for drains behind queued decisions, equal ids, cancels at another worker, stalls of a worker and of the decisions, full rings, descriptors and silent clients on one worker, cold servers in split. Timers are a hashed wheel; a short read ends reading; the facade feeds the module one batch a turn. Test names lose their semicolons, at which CTest split them and ran nothing.

--- a/src/net/buffer.cpp
+++ b/src/net/buffer.cpp
@@ -23,12 +23,13 @@
   if (bytes_.capacity() > kKeep) bytes_.shrink_to_fit();
 }
 
-IoEnd InBuffer::fill(int fd, std::size_t cap, std::size_t most) {
+IoEnd InBuffer::fill(int fd, std::size_t cap, std::size_t most, bool drained_by_short) {
   char chunk[kChunk];
   while (true) {
     std::size_t held = bytes_.size() - start_;
     if (held >= cap || most == 0) return IoEnd::kFull;
-    ssize_t n = recv(fd, chunk, std::min({sizeof chunk, cap - held, most}), 0);
+    auto room = std::min({sizeof chunk, cap - held, most});
+    ssize_t n = recv(fd, chunk, room, 0);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? IoEnd::kAgain : IoEnd::kClosed;
     if (n == 0) return IoEnd::kClosed;
@@ -38,6 +39,7 @@
     }
     bytes_.append(chunk, static_cast<std::size_t>(n));
     most -= static_cast<std::size_t>(n);
+    if (drained_by_short && static_cast<std::size_t>(n) < room) return IoEnd::kAgain;
   }
 }
 
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -16,7 +16,9 @@
   std::string_view view() const { return std::string_view(bytes_).substr(start_); }
   void consume(std::size_t n);
   // Reads until EAGAIN, the end, `cap` unread bytes are held, or `most` bytes have come by this call.
-  IoEnd fill(int fd, std::size_t cap, std::size_t most = SIZE_MAX);
+  // `drained_by_short`: a short read says that all has been read, as epoll(7) has it for streams; for calls
+  // after an event that did not tell of the peer's end.
+  IoEnd fill(int fd, std::size_t cap, std::size_t most = SIZE_MAX, bool drained_by_short = false);
   std::size_t memory() const { return bytes_.capacity(); }
   void clear() { consume(bytes_.size()); }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -38,43 +38,27 @@
     std::replace(list->begin(), list->end(), handler, static_cast<Handler*>(nullptr));
 }
 
-Loop::TimerId Loop::at(Micros when, std::function<void()> call) {
-  TimerId id{when, next_timer_++};
-  timers_.emplace(id, std::move(call));
-  return id;
-}
-
-void Loop::cancel(TimerId* timer) {
-  timers_.erase(*timer);
-  *timer = kNoTimer;
-}
-
-int Loop::wait_ms() const {
-  if (!again_.empty()) return 0;
-  if (timers_.empty()) return 1000;
-  auto left = (timers_.begin()->first.first - now_).count();
-  return static_cast<int>(std::clamp<std::int64_t>((left + 999) / 1000, 0, 1000));
-}
-
-int Loop::sleep(int milliseconds) {
+// Until something is ready, another thread wakes it, or the next timer is due.
+int Loop::sleep() {
   auto most = static_cast<int>(batch_.size());
-  if (fine_ && milliseconds > 0 && !timers_.empty()) {
-    auto left = std::clamp<std::int64_t>((timers_.begin()->first.first - now_).count(), 0, 1'000'000);
+  if (!again_.empty() || (wake_ && !wake_->may_sleep()))
+    return epoll_wait(epoll_.get(), batch_.data(), most, 0);
+  auto next = timers_.next();
+  auto left = next ? std::clamp<std::int64_t>((*next - now_).count(), 0, 1'000'000) : 1'000'000;
+  if (fine_ && left > 0) {
     timespec t{left / 1'000'000, left % 1'000'000 * 1000};
     int n = epoll_pwait2(epoll_.get(), batch_.data(), most, &t, nullptr);
     if (n >= 0 || errno == EINTR) return n;
     fine_ = false;  // this kernel does not know it
   }
-  return epoll_wait(epoll_.get(), batch_.data(), most, milliseconds);
+  return epoll_wait(epoll_.get(), batch_.data(), most, static_cast<int>((left + 999) / 1000));
 }
 
 void Loop::run(const std::function<void()>& end_of_turn) {
   now_ = monotonic_now();
   end_of_turn();
   while (!stopped_) {
-    int wait = wait_ms();
-    if (wake_ && wait != 0 && !wake_->may_sleep()) wait = 0;
-    int n = sleep(wait);
+    int n = sleep();
     if (wake_) wake_->awake();
     if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
     now_ = std::max(now_, monotonic_now());
@@ -89,11 +73,7 @@
     for (std::size_t i = 0; i < due_.size(); ++i)
       if (due_[i]) due_[i]->on_ready(EPOLLIN);
     due_.clear();
-    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
-      auto call = std::move(timers_.begin()->second);
-      timers_.erase(timers_.begin());
-      call();
-    }
+    timers_.run(now_);
     end_of_turn();
   }
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -6,18 +6,19 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <utility>
 #include <vector>
 
 #include "net/fd.h"
+#include "net/timers.h"
 
 namespace linenwinch::net {
 
-using Micros = std::chrono::microseconds;  // on the monotonic clock, or a span of it
-
 Micros monotonic_now();
 
+// Whether an event speaks of the peer's end, so that reading must go on until that is met.
+constexpr bool ends(std::uint32_t events) { return events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR); }
+
 // Told when its descriptor is ready. Edge-triggered: read and write until EAGAIN.
 class Handler {
  public:
@@ -29,8 +30,8 @@
 
 class Loop {
  public:
-  using TimerId = std::pair<Micros, std::uint64_t>;
-  static constexpr TimerId kNoTimer{Micros(0), 0};
+  using TimerId = Timers::Id;
+  static constexpr TimerId kNoTimer = Timers::kNone;
 
   Loop();
   Micros now() const { return now_; }  // the time of this turn
@@ -40,8 +41,10 @@
   void remove(int fd, Handler* handler);
   std::size_t watched() const { return watched_; }
 
-  TimerId at(Micros when, std::function<void()> call);
-  void cancel(TimerId* timer);  // and forgets it; harmless for one that has fired
+  TimerId at(Micros when, std::function<void()> call) { return timers_.at(when, std::move(call)); }
+  void cancel(TimerId* timer) {
+    timers_.cancel(std::exchange(*timer, kNoTimer));
+  }  // and forgets it; harmless for one that has fired
 
   // Calls on_ready(EPOLLIN) in the next turn, which comes at once: for what had to stop to let others go on.
   void again(Handler* handler) { again_.push_back(handler); }
@@ -59,16 +62,14 @@
   void stop() { stopped_ = true; }
 
  private:
-  int wait_ms() const;
-  int sleep(int milliseconds);
+  int sleep();
 
   Fd epoll_;
   Wake* wake_ = nullptr;
   Micros now_;
   bool stopped_ = false, fine_ = false;
   std::size_t watched_ = 0;
-  std::uint64_t next_timer_ = 1;
-  std::map<TimerId, std::function<void()>> timers_;
+  Timers timers_;
   std::vector<epoll_event> batch_;
   std::size_t cursor_ = 0, filled_ = 0;
   std::vector<Handler*> again_, due_;
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -90,7 +90,7 @@
   if (draining_) return drain();
   // Reading stopped at the cap, so the end of the stream is not seen by reading.
   if (paused_ && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return close();
-  if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) fill();
+  if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) fill((events & EPOLLIN) && !net::ends(events));
   if (fd_) process();
 }
 
@@ -100,14 +100,14 @@
   bytes_left_ = kBytesPerTurn;
 }
 
-void ClientSession::fill() {
+void ClientSession::fill(bool drained_by_short) {
   new_turn();
   if (ended_) {  // whatever comes behind the last command is not wanted
     if (net::discard(fd_.get(), kDiscardPerTurn) == net::IoEnd::kClosed) close();
     return;
   }
   auto before = in_.view().size();
-  auto end = in_.fill(fd_.get(), kReadCap, bytes_left_);
+  auto end = in_.fill(fd_.get(), kReadCap, bytes_left_, drained_by_short);
   bytes_left_ -= std::min(bytes_left_, in_.view().size() - before);
   paused_ = end == net::IoEnd::kFull;
   if (end == net::IoEnd::kClosed) return close();
@@ -142,9 +142,11 @@
     by = born_ + kPatience;
   else if (begun_)
     by = *begun_ + kPatience;
-  if (by && timer_.first == *by) return;
+  if (by && timer_ != net::Loop::kNoTimer && timer_at_ == *by) return;
   loop_.cancel(&timer_);
-  if (by) timer_ = loop_.at(*by, [this] { expire(); });
+  if (!by) return;
+  timer_at_ = *by;
+  timer_ = loop_.at(*by, [this] { expire(); });
 }
 
 void ClientSession::expire() {
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -68,7 +68,7 @@
     std::string answer;
   };
 
-  void fill();
+  void fill(bool drained_by_short = false);
   void process();
   void arm();  // the time by which something must have come
   void expire();
@@ -110,6 +110,7 @@
   std::optional<Micros> stuck_by_;  // until when the client must take something of its answers
   std::optional<Micros> begun_;     // when the command that is not yet whole began
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;
+  Micros timer_at_{0};
   std::deque<std::unique_ptr<Slot>> queue_;  // in the order of the commands
   std::uint64_t consumed_ = 0;               // of the stream: where in_ begins
   std::size_t parsed_ = 0;                   // of in_: what belongs to the queue
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -20,6 +20,7 @@
 constexpr Micros kMost = 15s;
 // Standard streams, epoll, the signals, the listener, discovery, the log: and some to spare.
 constexpr std::size_t kOwnDescriptors = 16;
+constexpr std::size_t kKeptBack = 8;  // of these, while another proxy of the process makes room
 // Clients with requests hold a third of the descriptors at most. Two thirds for all clients leave those their
 // part beside as many silent ones, and data servers the last third.
 constexpr double kClientShare = 2.0 / 3;
@@ -61,7 +62,15 @@
       on_listener_(*this) {
   auto address = net::parse_address(options_.listen);
   if (!address) throw std::runtime_error("listen is no address: '" + options_.listen + "'");
-  dispatcher_.pool().room = [this] { return descriptors_in_use() < options_.descriptors || make_room(); };
+  dispatcher_.pool().room = [this] {
+    auto used = descriptors_in_use();
+    if (used < options_.descriptors || make_room()) return true;
+    // Nothing of this proxy can give way, but something of another may: it closes that while this one goes on
+    // with what is kept back for the proxy's own use.
+    if (!others_ || used >= options_.descriptors + kKeptBack) return false;
+    others_->ask_for_room();
+    return true;
+  };
   auto known = options_.known;
   known.reset = true;
   dispatcher_.list(known, true);
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -113,7 +113,7 @@
     if (state_ == State::kBusy && out_.empty()) written_ = true;
   }
   if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
-  auto end = in_.fill(fd_.get(), kCap);
+  auto end = in_.fill(fd_.get(), kCap, SIZE_MAX, !net::ends(events));
   if (end == net::IoEnd::kFull) return spoilt();
   if (end == net::IoEnd::kClosed) {
     peer_closed_ = true;
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -91,7 +91,7 @@
   }
   usable_ = static_cast<std::size_t>(
       std::count_if(servers_.begin(), servers_.end(), [](auto& s) { return s.second.up; }));
-  feed(now, std::move(told));
+  pending_.emplace_back(std::move(told));
   // Servers are replaced by new ones all day; the module forgets them sooner than this.
   std::erase_if(servers_, [&](auto& entry) {
     bool gone = !entry.second.listed && now - entry.second.since > kForgetServer;
@@ -129,7 +129,7 @@
     o.position = clock_.known(*result.position_unix_ms);
   o.report = load_report(result.load);
   if (result.closed) attempts_.erase(result.request);
-  feed(now, std::move(o));
+  pending_.emplace_back(std::move(o));
 }
 
 void Facade::report(Micros now, const ProbeResult& result) {
@@ -138,13 +138,12 @@
   p.ok = result.ok;
   p.taken = result.taken;
   p.report = load_report(result.load);
-  feed(now, std::move(p));
+  pending_.emplace_back(std::move(p));
 }
 
 void Facade::gone(Micros now, RequestId request) {
   attempts_.erase(request);
-  std::vector<bc::Event> events;
-  events.emplace_back(bc::ClientGone{request});
+  pending_.emplace_back(bc::ClientGone{request});
   std::erase_if(decided_, [&](auto& d) {
     if (d.request != request || d.what == Decision::What::kProbe) return false;
     // A send that was decided but never fetched would count as in flight at its server for ever.
@@ -155,11 +154,10 @@
       never.member = member(now, d.server);
       never.status = bc::Status::Void;
       never.closed = true;
-      events.emplace_back(std::move(never));
+      pending_.emplace_back(std::move(never));
     }
     return true;
   });
-  take(now, router_.handle(now, events));
 }
 
 void Facade::ask(Micros now, const Request& request) {
@@ -173,11 +171,12 @@
   // An age of 0 would say that the session has written nothing: the youngest write is 1 us old.
   if (request.after_unix_ms) r.writeAge = std::max(Micros(1), now - clock_.required(*request.after_unix_ms));
   attempts_[request.id] = 0;
-  feed(now, std::move(r));
+  pending_.emplace_back(std::move(r));
 }
 
 Decision Facade::pick(Micros now, const Request& request) {
   ask(now, request);
+  flush(now);
   for (auto it = decided_.begin(); it != decided_.end(); ++it)
     if (it->request == request.id && it->what != Decision::What::kProbe) {
       auto decision = std::move(*it);
@@ -190,13 +189,12 @@
 }
 
 Ticked Facade::tick(Micros now) {
-  std::vector<bc::Event> due;
   std::erase_if(timers_, [&](auto& timer) {
     if (timer.first > now) return false;
-    due.emplace_back(bc::TimerFired{timer.second});
+    pending_.emplace_back(bc::TimerFired{timer.second});
     return true;
   });
-  if (!due.empty()) take(now, router_.handle(now, due));
+  flush(now);
   Ticked ticked;
   ticked.decisions = std::move(decided_);
   decided_.clear();
@@ -205,10 +203,10 @@
   return ticked;
 }
 
-void Facade::feed(Micros now, bc::Event event) {
-  std::vector<bc::Event> events;
-  events.push_back(std::move(event));
-  take(now, router_.handle(now, events));
+void Facade::flush(Micros now) {
+  if (pending_.empty()) return;
+  take(now, router_.handle(now, pending_));
+  pending_.clear();
 }
 
 void Facade::take(Micros now, std::vector<bc::Action> actions) {
--- a/src/routing/facade.h
+++ b/src/routing/facade.h
@@ -110,7 +110,7 @@
  private:
   badgercourse::MemberId member(Micros now, const std::string& server);
   badgercourse::Report load_report(std::string_view text) const;
-  void feed(Micros now, badgercourse::Event event);
+  void flush(Micros now);
   void take(Micros now, std::vector<badgercourse::Action> actions);
 
   badgercourse::Settings settings_;
@@ -129,6 +129,7 @@
   std::size_t usable_ = 0;
   std::unordered_map<RequestId, int> attempts_;  // of the requests that are open: how many were sent
   std::vector<Decision> decided_;                // not yet fetched
+  std::vector<badgercourse::Event> pending_;  // of this turn, in order; the module is fed all of them at once
   std::vector<std::pair<Micros, std::uint64_t>> timers_;
 };
 
--- a/src/workers/decision_thread.cpp
+++ b/src/workers/decision_thread.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-DecisionThread::DecisionThread(std::unique_ptr<routing::Facade> facade, std::size_t workers,
+DecisionThread::DecisionThread(std::unique_ptr<routing::Facade> facade, std::size_t workers, std::size_t ring,
                                proxy::PoolLimits limits, net::Log log, std::function<void(std::size_t)> wake)
     : mailbox_(loop_,
                [this] {
@@ -26,7 +26,7 @@
       pool_(loop_, limits, *this, std::move(log)),
       wake_(std::move(wake)),
       told_(workers, false) {
-  for (std::size_t i = 0; i < workers; ++i) lines_.push_back(std::make_unique<Line>());
+  for (std::size_t i = 0; i < workers; ++i) lines_.push_back(std::make_unique<Line>(ring));
 }
 
 DecisionThread::~DecisionThread() { stop(); }
--- a/src/workers/decision_thread.h
+++ b/src/workers/decision_thread.h
@@ -17,8 +17,8 @@
  public:
   // `wake(w)` tells worker `w` that decisions wait for it. Request ids say whose they are: (id - 1) modulo
   // workers.
-  DecisionThread(std::unique_ptr<routing::Facade> facade, std::size_t workers, proxy::PoolLimits limits,
-                 net::Log log, std::function<void(std::size_t)> wake);
+  DecisionThread(std::unique_ptr<routing::Facade> facade, std::size_t workers, std::size_t ring,
+                 proxy::PoolLimits limits, net::Log log, std::function<void(std::size_t)> wake);
   ~DecisionThread();
 
   Line& line(std::size_t worker) { return *lines_[worker]; }
--- a/src/workers/group.cpp
+++ b/src/workers/group.cpp
@@ -52,7 +52,7 @@
     auto& c = group.config_;
     if (c.options.decisions == Decisions::kShared) {
       remote_ = std::make_unique<RemoteDecider>(group.decisions_->line(number),
-                                                group.decisions_->facade().classes(),
+                                                group.decisions_->facade().classes(), c.options.most_waiting,
                                                 [&group] { group.decisions_->wake(); });
       decider_ = remote_.get();
     } else {
@@ -244,9 +244,9 @@
     auto facade = std::make_unique<routing::Facade>(
         config_.settings, config_.seed, routing::UnixClock::measured(),
         [decisions_log](const std::string& text) { decisions_log(net::Level::kInfo, "decisions: " + text); });
-    decisions_ =
-        std::make_unique<DecisionThread>(std::move(facade), o.count, config_.proxy.pool, decisions_log,
-                                         [this](std::size_t worker) { workers_[worker]->wake(); });
+    decisions_ = std::make_unique<DecisionThread>(std::move(facade), o.count, o.ring, config_.proxy.pool,
+                                                  decisions_log,
+                                                  [this](std::size_t worker) { workers_[worker]->wake(); });
   }
   if (o.accept == Accept::kDeal) acceptor_ = std::make_unique<Acceptor>(*this);
   auto configured = config_.proxy.listen;
--- a/src/workers/remote_decider.cpp
+++ b/src/workers/remote_decider.cpp
@@ -33,7 +33,7 @@
 }
 
 bool RemoteDecider::ask(Micros, const routing::Request& request) {
-  if (line_.told.backlog() >= kMostWaiting) return false;
+  if (line_.told.backlog() >= most_waiting_) return false;
   Told told;
   told.kind = Told::Kind::kRequest;
   told.request = request;
--- a/src/workers/remote_decider.h
+++ b/src/workers/remote_decider.h
@@ -21,24 +21,19 @@
 
 // Both ways between one worker and the decision thread.
 struct Line {
-  // A worker has some hundred requests open; a ring holds what a stalled peer lets gather in a tenth of a
-  // second at 40,000 requests a second.
-  static constexpr std::size_t kRing = 4096;
-  Channel<Told> told{kRing};               // worker to decisions
-  Channel<routing::Decision> made{kRing};  // decisions to worker
-  std::atomic<bool> ready{false};          // the decisions know of a server that is up
+  explicit Line(std::size_t ring) : told(ring), made(ring) {}
+  Channel<Told> told;               // worker to decisions
+  Channel<routing::Decision> made;  // decisions to worker
+  std::atomic<bool> ready{false};   // the decisions know of a server that is up
 };
 
 class RemoteDecider : public routing::Decider {
  public:
-  // New requests that may wait beyond the full ring; more are turned away. The rest is bounded by what is
-  // open.
-  static constexpr std::size_t kMostWaiting = 4096;
-
-  // `wake` tells the decision thread that something waits for it.
+  // `most_waiting`: new requests that may wait beyond the full ring; more are turned away. What else is sent
+  // is bounded by what is open. `wake` tells the decision thread that something waits for it.
   RemoteDecider(Line& line, const std::unordered_map<std::string, routing::ClassInfo>& classes,
-                std::function<void()> wake)
-      : line_(line), classes_(classes), wake_(std::move(wake)) {}
+                std::size_t most_waiting, std::function<void()> wake)
+      : line_(line), classes_(classes), most_waiting_(most_waiting), wake_(std::move(wake)) {}
 
   const routing::ClassInfo* find_class(std::string_view name) const override;
   bool ready() const override { return line_.ready.load(std::memory_order_acquire); }
@@ -56,6 +51,7 @@
  private:
   Line& line_;
   const std::unordered_map<std::string, routing::ClassInfo>& classes_;
+  std::size_t most_waiting_;
   std::function<void()> wake_;
   Fence fence_;
   bool told_ = false;
--- a/tests/net/peers_test.cpp
+++ b/tests/net/peers_test.cpp
@@ -50,7 +50,7 @@
   CHECK(rig.primary.most_out <= 1);
 }
 
-TEST_CASE("bad servers: what stands behind a good answer reaches nobody; that connection is not used again") {
+TEST_CASE("bad servers: what stands behind a good answer reaches nobody, that connection is not used again") {
   Rig rig;
   auto behind = GENERATE(as<std::string>{}, "\x01noise", row("wrong") + pg::ready_for_query());
   rig.primary.reply = rig.replica.reply = [&](const std::string&) {
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -56,7 +56,7 @@
   CHECK(client.answer().code == "08P01");  // behind what was taken before it
 }
 
-TEST_CASE("clients: a read behind a write of the same key waits for it; hundreds at once are cut off") {
+TEST_CASE("clients: a read behind a write of the same key waits for it, hundreds at once are cut off") {
   Rig rig;
   std::atomic<bool> release{false};
   rig.primary.reply = [&](const std::string&) {
@@ -81,7 +81,7 @@
 }
 
 TEST_CASE(
-    "clients: what is malformed gets an SQLSTATE and never reaches a server; bad bytes end one connection") {
+    "clients: what is malformed gets an SQLSTATE and never reaches a server, bad bytes end one connection") {
   Rig rig;
   Client client(rig.port), other(rig.port);
   for (std::string sql : {"SELECT 1", "select content from kv", "SELECT content FROM kv WHERE name = 'k1'",
@@ -248,7 +248,7 @@
   CHECK(client.ask(big).value == value);
 }
 
-TEST_CASE("values: one that breaks off halfway never reaches the client; a read goes on to another server") {
+TEST_CASE("values: one that breaks off halfway never reaches the client, a read goes on to another server") {
   Rig rig;
   std::string value(40000, 'h');
   rig.replica.reply = [&](const std::string&) { return Reply{Reply::kHalf, value, 0}; };
@@ -452,8 +452,9 @@
   REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
   net::Fd out(ends[0]), in(ends[1]);
   fcntl(in.get(), F_SETPIPE_SZ, 4096);
-  app::Logger logger("t", in.get());
+  app::Logger logger("t", {}, in.get());
   for (int i = 0; i < 1000; ++i) logger.write(net::Level::kInfo, std::string(300, 'x') + "\nsecond line");
+  logger.flush();
   char got[65536];
   auto n = read(out.get(), got, sizeof got);
   REQUIRE(n > 0);
--- /dev/null
+++ b/tests/workers/group_test.cpp
@@ -0,0 +1,437 @@
+// Several workers on real sockets: what goes wrong between threads, caused on purpose.
+#include "workers/group.h"
+
+#include <set>
+
+#include "lab/load.h"
+#include "lab/stand_in.h"
+#include "net/rig.h"
+
+namespace linenwinch::test {
+namespace {
+
+using workers::Decisions;
+using workers::GroupOptions;
+
+GroupOptions options(std::size_t count, Decisions decisions = Decisions::kShared) {
+  GroupOptions o;
+  o.count = count;
+  o.decisions = decisions;
+  return o;
+}
+
+// A group in a thread of its own, on what `config` says.
+class RunningGroup {
+ public:
+  RunningGroup(const app::Config& config, const GroupOptions& o) {
+    std::promise<void> started;
+    thread_ = std::thread([&, config, o] {
+      net::Loop control;
+      workers::GroupConfig g;
+      g.settings = config.settings;
+      g.seed = config.seed;
+      g.options = o;
+      g.proxy.listen = config.listen;
+      g.proxy.discovery = config.discovery;
+      g.proxy.descriptors = config.sockets;
+      g.proxy.memory = config.memory;
+      g.proxy.pool = config.pool;
+      g.proxy.known = config.known;
+      group = std::make_unique<workers::Group>(
+          control, g, [](const std::string&) { return [](net::Level, const std::string&) {}; });
+      workers::Mailbox mailbox(control);
+      port = group->port();
+      started.set_value();
+      group->run();
+      returned = group->returned();
+      counters = group->counters();
+      group.reset();
+    });
+    started.get_future().wait();
+  }
+  ~RunningGroup() { stop(); }
+  void stop() {
+    if (!thread_.joinable()) return;
+    if (!gently_) group->stop_now();
+    thread_.join();
+  }
+  void stop_gently() {
+    gently_ = true;
+    group->shut_down();
+    thread_.join();
+  }
+  // Holds one worker, or the decision thread, still for so long.
+  void stall(std::size_t worker, std::chrono::milliseconds time) {
+    group->post(worker, [time](proxy::Proxy&) { std::this_thread::sleep_for(time); });
+  }
+  void stall_decisions(std::chrono::milliseconds time) {
+    group->post_decisions([time] { std::this_thread::sleep_for(time); });
+  }
+
+  std::unique_ptr<workers::Group> group;
+  int port = 0;
+  std::uint64_t returned = 0;
+  proxy::Counters counters;
+
+ private:
+  bool gently_ = false;
+  std::thread thread_;
+};
+
+struct GroupRig {
+  explicit GroupRig(const GroupOptions& o, std::size_t descriptors = 400) {
+    discovery.set(list("up"));
+    config = app::parse_config(config_text(discovery.address(), discovery.list()));
+    config.sockets = descriptors;
+    running.emplace(config, o);
+    port = running->port;
+    REQUIRE(soon([&] { return Client(port).ask(read_sql("first")).row; }));
+  }
+  std::string list(const std::string& of_second) {
+    return entry("s-p", primary) + "," + entry("s-r", replica) + "," + entry("s-q", second, of_second);
+  }
+  Server primary{true}, replica{false}, second{false};
+  Discovery discovery;
+  app::Config config;
+  std::optional<RunningGroup> running;
+  int port = 0;
+};
+
+// A client that knows which worker has it, from the number that CancelRequests name.
+struct Placed {
+  explicit Placed(int port, std::size_t workers) : client(port, false) {
+    client.send(pg::startup_message("backend", "store"));
+    while (true) {
+      auto [type, body] = client.message();
+      REQUIRE(type != 0);
+      if (type == 'K') {
+        for (int i = 0; i < 4; ++i)
+          number = number << 8 | static_cast<unsigned char>(body[static_cast<std::size_t>(i)]);
+        for (int i = 4; i < 8; ++i)
+          secret = secret << 8 | static_cast<unsigned char>(body[static_cast<std::size_t>(i)]);
+      }
+      if (type == 'Z') break;
+    }
+    worker = number % workers;
+  }
+  std::string cancel_request() const {
+    std::string out("\0\0\0\x10\x04\xd2\x16\x2e", 8);
+    for (auto value : {number, secret})
+      for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xff));
+    return out;
+  }
+  Client client;
+  std::uint32_t number = 0, secret = 0;
+  std::size_t worker = 0;
+};
+
+std::vector<std::unique_ptr<Placed>> one_on_each(int port, std::size_t workers) {
+  std::vector<std::unique_ptr<Placed>> all(workers);
+  for (int tries = 0; tries < 64; ++tries) {
+    auto placed = std::make_unique<Placed>(port, workers);
+    if (!all[placed->worker]) all[placed->worker] = std::move(placed);
+    if (std::all_of(all.begin(), all.end(), [](auto& p) { return p != nullptr; })) return all;
+  }
+  FAIL("some worker got no client");
+  return all;
+}
+
+void balances(const proxy::Counters& c) { CHECK(c.taken == c.served + c.refused + c.failed + c.gone); }
+
+}  // namespace
+
+TEST_CASE("workers: both ways of deciding and of accepting serve reads and writes on every worker") {
+  for (auto decisions : {Decisions::kShared, Decisions::kSplit})
+    for (auto accept : {workers::Accept::kDeal, workers::Accept::kReusePort}) {
+      auto o = options(3, decisions);
+      o.accept = accept;
+      GroupRig rig(o);
+      auto placed = one_on_each(rig.port, 3);
+      for (std::size_t w = 0; w < 3; ++w) {
+        CHECK(placed[w]->client.ask(read_sql("r" + std::to_string(w))).value == "value");
+        CHECK(placed[w]->client.ask(write_sql("w" + std::to_string(w))).row);
+      }
+      rig.running->stop_gently();
+      CHECK(rig.running->counters.served == 7);
+      balances(rig.running->counters);
+    }
+}
+
+TEST_CASE("workers: a decision that waited while word of a drain came is not carried out, and made anew") {
+  GroupRig rig(options(4));
+  auto placed = one_on_each(rig.port, 4);
+  std::atomic<bool> told{false};
+  std::atomic<int> after{0};
+  rig.second.reply = [&](const std::string&) {
+    after += told.load();
+    return Reply{};
+  };
+  // The requests reach the decision thread while that stands still; it decides while all workers do; then
+  // comes the word, and only then the workers go on, with decisions in their rings.
+  rig.running->stall_decisions(80ms);
+  for (std::size_t w = 0; w < 4; ++w)
+    for (int i = 0; i < 8; ++i)
+      placed[w]->client.send(pg::simple_query(read_sql("d" + std::to_string(w) + "-" + std::to_string(i))));
+  std::this_thread::sleep_for(40ms);
+  for (std::size_t w = 0; w < 4; ++w) rig.running->stall(w, 400ms);
+  std::this_thread::sleep_for(100ms);
+  auto calls = rig.discovery.calls.load();
+  rig.discovery.set(rig.list("draining"));
+  REQUIRE(soon([&] { return rig.discovery.calls > calls; }));  // it has the word and asks for the next
+  told = true;
+  for (std::size_t w = 0; w < 4; ++w)
+    for (int i = 0; i < 8; ++i) CHECK(placed[w]->client.answer().row);
+  CHECK(after == 0);
+  rig.running->stop_gently();
+  CHECK(rig.running->returned > 0);
+  balances(rig.running->counters);
+}
+
+TEST_CASE("workers: one id open at two workers is turned away at the second, in both ways of deciding") {
+  for (auto decisions : {Decisions::kShared, Decisions::kSplit}) {
+    GroupRig rig(options(2, decisions));
+    std::atomic<bool> release{false};
+    rig.primary.reply = rig.replica.reply = rig.second.reply = [&](const std::string&) {
+      soon([&] { return release.load(); });
+      return Reply{};
+    };
+    auto placed = one_on_each(rig.port, 2);
+    auto before = rig.primary.count() + rig.replica.count() + rig.second.count();
+    placed[0]->client.send(pg::simple_query(read_sql("same", 1900)));
+    REQUIRE(soon([&] { return rig.primary.count() + rig.replica.count() + rig.second.count() > before; }));
+    CHECK(placed[1]->client.ask(read_sql("same", 1900)).code == "42710");
+    release = true;
+    CHECK(placed[0]->client.answer().row);
+    CHECK(placed[1]->client.ask(read_sql("same", 1900)).row);  // it is free again
+  }
+}
+
+TEST_CASE("workers: a cancel that arrives at another worker reaches the request, a wrong secret does not") {
+  GroupRig rig(options(3));
+  std::atomic<bool> release{false};
+  rig.primary.reply = [&](const std::string&) {
+    soon([&] { return release.load(); });
+    return Reply{};
+  };
+  auto placed = one_on_each(rig.port, 3);
+  for (auto& victim : placed) {
+    auto before = rig.primary.count();
+    victim->client.send(pg::simple_query(write_sql("c" + std::to_string(victim->worker), 4000)));
+    REQUIRE(soon([&] { return rig.primary.count() > before; }));
+    auto wrong = victim->cancel_request();
+    wrong.back() = static_cast<char>(wrong.back() ^ 1);
+    Peer::to(rig.port).send(wrong);
+    for (int i = 0; i < 3; ++i) {  // dealt in turn: two of three land on a worker that does not have it
+      Peer canceller = Peer::to(rig.port);
+      canceller.send(victim->cancel_request());
+      canceller.more();
+    }
+    CHECK(victim->client.answer().code == "57014");
+  }
+  release = true;
+  rig.running->stop_gently();
+  CHECK(rig.running->counters.gone == 3);  // each once, and none by the wrong secret
+}
+
+TEST_CASE("workers: a client that leaves while its decision is on the way leaves nothing behind") {
+  GroupRig rig(options(2));
+  auto before = rig.primary.count() + rig.replica.count() + rig.second.count();
+  {
+    auto placed = one_on_each(rig.port, 2);
+    rig.running->stall_decisions(150ms);
+    for (auto& p : placed) p->client.send(pg::simple_query(read_sql("l" + std::to_string(p->worker))));
+    std::this_thread::sleep_for(50ms);
+  }
+  std::this_thread::sleep_for(200ms);
+  auto placed = one_on_each(rig.port, 2);
+  for (auto& p : placed) CHECK(p->client.ask(read_sql("m" + std::to_string(p->worker))).row);
+  CHECK(rig.primary.count() + rig.replica.count() + rig.second.count() == before + 2);
+  rig.running->stop_gently();
+  CHECK(rig.running->counters.gone == 2);
+  balances(rig.running->counters);
+}
+
+TEST_CASE(
+    "workers: while the decisions stand still each request gets one answer in time, and no queue grows") {
+  auto o = options(2);
+  o.ring = 8;
+  o.most_waiting = 8;
+  GroupRig rig(o);
+  std::vector<std::unique_ptr<Placed>> placed;
+  for (int i = 0; i < 4; ++i) placed.push_back(std::make_unique<Placed>(rig.port, 2));
+  rig.running->stall_decisions(900ms);
+  std::this_thread::sleep_for(20ms);
+  auto began = Clock::now();
+  for (std::size_t p = 0; p < placed.size(); ++p)
+    for (int i = 0; i < 30; ++i)
+      placed[p]->client.send(
+          pg::simple_query(read_sql("f" + std::to_string(p) + "-" + std::to_string(i), 400)));
+  int refused = 0, failed = 0, served = 0;
+  for (auto& p : placed)
+    for (int i = 0; i < 30; ++i) {
+      auto answer = p->client.answer();
+      REQUIRE(answer.end == 'Z');
+      served += answer.row;
+      refused += answer.code == "53300";
+      failed += answer.code == "57014";
+      if (answer.code == "53300") CHECK(std::stoi(answer.detail) > 0);
+    }
+  CHECK(Clock::now() - began < 800ms);  // the stall was not waited out
+  CHECK(served == 0);
+  CHECK(refused >= 60);  // two rings and two queues of 8 hold 32 of 120, the rest is told at once
+  CHECK(failed > 0);
+  CHECK(refused + failed == 120);
+  std::this_thread::sleep_for(600ms);
+  CHECK(placed[0]->client.ask(read_sql("after")).row);
+  rig.running->stop_gently();
+  balances(rig.running->counters);
+}
+
+TEST_CASE("workers: one that stalls answers late but once, keeps its decisions, and holds nobody else up") {
+  GroupRig rig(options(2));
+  auto placed = one_on_each(rig.port, 2);
+  std::atomic<bool> release{false};
+  rig.replica.reply = rig.second.reply = [&](const std::string&) {
+    soon([&] { return release.load(); });
+    return Reply{};
+  };
+  for (int i = 0; i < 6; ++i)
+    placed[0]->client.send(pg::simple_query(read_sql("s" + std::to_string(i), 1800)));
+  REQUIRE(soon([&] { return rig.replica.count() + rig.second.count() >= 2; }));
+  rig.running->stall(0, 300ms);
+  std::this_thread::sleep_for(20ms);
+  release = true;
+  auto began = Clock::now();
+  for (int i = 0; i < 5; ++i) CHECK(placed[1]->client.ask(read_sql("o" + std::to_string(i))).row);
+  CHECK(Clock::now() - began < 250ms);
+  for (int i = 0; i < 6; ++i) CHECK(placed[0]->client.answer().row);
+  CHECK(placed[0]->client.ask(read_sql("again")).row);
+  CHECK(rig.replica.most_out <= 6);
+  rig.running->stop_gently();
+  balances(rig.running->counters);
+}
+
+TEST_CASE(
+    "workers: silent clients on one worker, and all descriptors used, do not shut out a client of another") {
+  for (auto decisions : {Decisions::kShared, Decisions::kSplit}) {
+    GroupRig rig(options(2, decisions), 150);
+    std::vector<std::unique_ptr<Placed>> silent;
+    std::size_t others = 0;
+    for (int i = 0; i < 120 && silent.size() < 60; ++i) {
+      auto placed = std::make_unique<Placed>(rig.port, 2);
+      if (placed->worker == 0)
+        silent.push_back(std::move(placed));
+      else
+        ++others;  // it leaves, so that worker 1 stays empty
+    }
+    CHECK(others > 0);
+    // More than all clients may hold, so that each new one needs one of worker 0's closed.
+    std::vector<std::unique_ptr<Placed>> usual;
+    for (int i = 0; i < 40; ++i) {
+      usual.push_back(std::make_unique<Placed>(rig.port, 2));
+      REQUIRE(usual.back()->client.ask(read_sql("u" + std::to_string(i))).row);
+    }
+  }
+}
+
+TEST_CASE("workers: connections to one server stay near their cap over all workers") {
+  auto o = options(4);
+  o.connections_per_server = 6;
+  GroupRig rig(o);
+  std::atomic<int> out{0};
+  rig.primary.reply = [&](const std::string&) {
+    ++out;
+    soon([&] { return out >= 12; }, 300ms);  // many at once, so that each worker opens some
+    return Reply{};
+  };
+  auto placed = one_on_each(rig.port, 4);
+  for (int i = 0; i < 3; ++i)
+    for (auto& p : placed)
+      p->client.send(pg::simple_query(
+          "INSERT INTO kv (name, content) VALUES ('n" + std::to_string(i) +
+          "', '\\x9f') RETURNING content /* id=n" + std::to_string(i) + "-" + std::to_string(p->worker) +
+          ",c=book,d=3000,k=" + std::to_string(i * 10 + static_cast<int>(p->worker)) + ",cluster=2 */"));
+  for (int i = 0; i < 3; ++i)
+    for (auto& p : placed) CHECK(p->client.answer().row);
+  CHECK(soon([&] { return rig.primary.open <= 7; }));  // 6, and the probe's own
+}
+
+TEST_CASE("workers: a whole shutdown answers what was taken on every worker") {
+  GroupRig rig(options(4));
+  auto placed = one_on_each(rig.port, 4);
+  std::atomic<bool> release{false};
+  rig.replica.reply = rig.second.reply = rig.primary.reply = [&](const std::string&) {
+    soon([&] { return release.load(); });
+    return Reply{};
+  };
+  for (auto& p : placed) p->client.send(pg::simple_query(read_sql("e" + std::to_string(p->worker), 1900)));
+  REQUIRE(soon([&] { return rig.replica.count() + rig.second.count() + rig.primary.count() >= 4; }));
+  std::thread stopping([&] { rig.running->stop_gently(); });
+  std::this_thread::sleep_for(100ms);
+  Client late(rig.port);  // new connections keep coming for a while
+  release = true;
+  CHECK(late.ask(read_sql("late")).row);
+  for (auto& p : placed) CHECK(p->client.answer().row);
+  stopping.join();
+  CHECK(rig.running->counters.served == rig.running->counters.taken);
+}
+
+TEST_CASE("workers: discovery's word of a drain stops new work from every worker at once, under load") {
+  for (auto decisions : {Decisions::kShared, Decisions::kSplit}) {
+    lab::StandInOptions servers;
+    servers.replicas = 3;
+    servers.threads = 1;
+    servers.seed = 3;
+    lab::StandIn stand_in(servers);
+    auto config = app::parse_config(config_text(stand_in.discovery(), stand_in.members().dump()));
+    config.sockets = 600;
+    RunningGroup running(config, options(4, decisions));
+    lab::LoadOptions load;
+    load.target = *net::parse_address("127.0.0.1:" + std::to_string(running.port));
+    load.connections = 24;
+    load.depth = 4;
+    load.length = lab::Micros(1'200'000);
+    load.rules = &stand_in.rules();
+    std::thread steering([&] {
+      std::this_thread::sleep_for(400ms);
+      stand_in.steer({{"do", "drain"}, {"server", "s1-2"}});
+    });
+    auto figures = lab::run_load(load);
+    steering.join();
+    CHECK(figures.served > 100);
+    CHECK(figures.failed == 0);
+    for (auto& b : stand_in.rules().breaches()) FAIL_CHECK(lab::name_of(b.rule) << ": " << b.first);
+    auto last = stand_in.rules().drain_last_send_ms();
+    REQUIRE(last.count("s1-2"));
+    CHECK(last["s1-2"] < 1000);  // the rule; what is aimed at is measured, not tested
+  }
+}
+
+TEST_CASE("workers: split, all workers together spare a cold server, each alone would not know") {
+  lab::StandInOptions servers;
+  servers.replicas = 3;
+  servers.seed = 4;
+  servers.model.service_us = 300;
+  lab::StandIn stand_in(servers);
+  auto config = app::parse_config(config_text(stand_in.discovery(), stand_in.members().dump()));
+  config.sockets = 600;
+  RunningGroup running(config, options(4, Decisions::kSplit));
+  lab::LoadOptions load;
+  load.target = *net::parse_address("127.0.0.1:" + std::to_string(running.port));
+  load.connections = 32;
+  load.rate = 2000;
+  load.length = lab::Micros(3'500'000);
+  load.book = 0;
+  load.rules = &stand_in.rules();
+  std::thread steering([&] {
+    std::this_thread::sleep_for(300ms);
+    stand_in.steer({{"do", "add"}, {"set", 1}});
+  });
+  auto figures = lab::run_load(load);
+  steering.join();
+  CHECK(figures.served > 3000);
+  for (auto& b : stand_in.rules().breaches()) FAIL_CHECK(lab::name_of(b.rule) << ": " << b.first);
+  CHECK(stand_in.figures()["s1-5"].requests > 0);  // and it is not shut out
+}
+
+}  // namespace linenwinch::test
--- /dev/null
+++ b/tests/workers/pure_test.cpp
@@ -0,0 +1,236 @@
+// What decides among workers without I/O, as tables; and what they count together.
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <thread>
+
+#include "net/timers.h"
+#include "workers/channel.h"
+#include "workers/deal.h"
+#include "workers/fence.h"
+#include "workers/group.h"
+#include "workers/ledger.h"
+
+namespace linenwinch::workers {
+namespace {
+
+using discovery::Lifecycle;
+using routing::Decision;
+
+discovery::MemberUpdate update(bool reset, std::vector<std::pair<std::string, Lifecycle>> members) {
+  discovery::MemberUpdate u;
+  u.reset = reset;
+  for (auto& [id, lifecycle] : members) {
+    discovery::MemberInfo m;
+    m.id = id;
+    m.lifecycle = lifecycle;
+    u.members.push_back(m);
+  }
+  return u;
+}
+
+Decision send_to(const std::string& server, std::uint64_t list, Micros made,
+                 Micros wait = Micros(1'000'000)) {
+  Decision d;
+  d.what = Decision::What::kSend;
+  d.server = server;
+  d.list = list;
+  d.made = made;
+  d.wait = wait;
+  return d;
+}
+
+}  // namespace
+
+TEST_CASE("fence: a send decided before the word of a drain goes back, one decided in its knowledge passes") {
+  Fence fence;
+  fence.listed(Micros(0), update(true, {{"a", Lifecycle::kUp}, {"b", Lifecycle::kUp}}));
+  REQUIRE(fence.version() == 1);
+  Micros now(1000);
+  CHECK(fence.judge(now, send_to("a", 1, now)) == Fence::Verdict::kGood);
+  CHECK(fence.judge(now, send_to("a", 2, now)) == Fence::Verdict::kAhead);
+  fence.listed(now, update(false, {{"a", Lifecycle::kDraining}}));
+  CHECK(fence.judge(now, send_to("a", 1, now)) == Fence::Verdict::kClosed);
+  CHECK(fence.judge(now, send_to("b", 1, now)) == Fence::Verdict::kGood);
+  CHECK(fence.judge(now, send_to("a", 2, now)) == Fence::Verdict::kGood);  // a primary that hands over
+  // The same word again does not turn back what was decided after the first.
+  fence.listed(now, update(false, {{"a", Lifecycle::kDraining}}));
+  CHECK(fence.judge(now, send_to("a", 2, now)) == Fence::Verdict::kGood);
+  CHECK(fence.judge(now, send_to("a", 1, now)) == Fence::Verdict::kClosed);
+  // Removal closes too, told or by its absence from a whole list; up again opens.
+  fence.listed(now, update(false, {{"b", Lifecycle::kRemoved}}));
+  CHECK(fence.judge(now, send_to("b", 3, now)) == Fence::Verdict::kClosed);
+  fence.listed(now, update(true, {{"c", Lifecycle::kUp}}));
+  CHECK(fence.judge(now, send_to("a", 4, now)) == Fence::Verdict::kClosed);
+  CHECK(fence.judge(now, send_to("c", 4, now)) == Fence::Verdict::kGood);
+}
+
+TEST_CASE("fence: what was decided long ago, or has no time left, goes back, cancels always pass") {
+  Fence fence;
+  fence.listed(Micros(0), update(true, {{"a", Lifecycle::kUp}}));
+  Micros made(5000);
+  CHECK(fence.judge(made + kStalest, send_to("a", 1, made)) == Fence::Verdict::kGood);
+  CHECK(fence.judge(made + kStalest + Micros(1), send_to("a", 1, made)) == Fence::Verdict::kOld);
+  CHECK(fence.judge(made + Micros(3000), send_to("a", 1, made, Micros(3000))) == Fence::Verdict::kOld);
+  Decision cancel = send_to("a", 1, made);
+  cancel.what = Decision::What::kCancel;
+  CHECK(fence.judge(made + Micros(10'000'000), cancel) == Fence::Verdict::kGood);
+}
+
+TEST_CASE("fence: it forgets closings that no decision can be older than, however many servers come and go") {
+  Fence fence;
+  Micros now(0);
+  for (int i = 0; i < 5000; ++i) {
+    now += Micros(50'000);
+    auto id = "s" + std::to_string(i);
+    fence.listed(now, update(false, {{id, Lifecycle::kUp}}));
+    fence.listed(now, update(false, {{id, Lifecycle::kRemoved}}));
+  }
+  CHECK(fence.kept() <= 25);
+}
+
+TEST_CASE(
+    "dealing: the fewest clients, in turn where equal, none to a worker that stands still or has ended") {
+  std::vector<Seat> seats(3);
+  CHECK(deal(seats, 0) == 1);
+  CHECK(deal(seats, 2) == 0);
+  seats[0].clients = 5;
+  seats[1].clients = 3;
+  seats[2].clients = 4;
+  CHECK(deal(seats, 0) == 1);
+  seats[1].dealt = kMostDealt;  // it takes none of those it has
+  CHECK(deal(seats, 0) == 2);
+  seats[2].running = false;
+  CHECK(deal(seats, 0) == 0);
+  seats[0].dealt = kMostDealt;
+  CHECK_FALSE(deal(seats, 0));
+  CHECK(give_room(seats, std::nullopt) == 0);
+  CHECK(give_room(seats, 0) == 1);
+  CHECK_FALSE(give_room(std::vector<Seat>(2), 0));
+}
+
+TEST_CASE("channel: nothing is lost or reordered when the ring is full, from one thread to another") {
+  Channel<int> channel(8);
+  for (int i = 0; i < 100; ++i) channel.send(i);
+  CHECK(channel.backlog() > 0);
+  CHECK(channel.delayed() == channel.backlog());
+  std::vector<int> got;
+  std::thread receiver([&] {
+    while (got.size() < 100000)
+      if (auto* item = channel.front()) {
+        got.push_back(*item);
+        channel.pop();
+      } else {
+        std::this_thread::yield();
+      }
+  });
+  for (int i = 100; i < 100000; ++i) channel.send(i);
+  while (channel.flush()) std::this_thread::yield();
+  receiver.join();
+  for (int i = 0; i < 100000; ++i)
+    if (got[static_cast<std::size_t>(i)] != i)
+      FAIL("item " << i << " is " << got[static_cast<std::size_t>(i)]);
+}
+
+TEST_CASE(
+    "ledger: a name is taken once at a time, from any thread, connections are forgotten with their last") {
+  OpenNames names;
+  std::atomic<int> taken{0};
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 4; ++t)
+    threads.emplace_back([&] {
+      for (int i = 0; i < 1000; ++i) taken += names.take("id" + std::to_string(i));
+    });
+  for (auto& t : threads) t.join();
+  CHECK(taken == 1000);
+  CHECK(names.size() == 1000);
+  names.release("id7");
+  CHECK(names.take("id7"));
+  ServerConnections connections;
+  {
+    auto a = connections.counter("a"), again = connections.counter("a");
+    CHECK(a == again);
+    for (int i = 0; i < 100; ++i) connections.counter("gone" + std::to_string(i));
+    CHECK(connections.servers() <= 2);
+  }
+  Holdings holdings(3);
+  holdings.publish(0, {1, 10, 5, 100});
+  holdings.publish(2, {2, 20, 6, 200});
+  CHECK(holdings.others(0).clients == 20);
+  CHECK(holdings.others(1).descriptors == 3);
+  CHECK(holdings.others(9).buffered == 300);
+}
+
+TEST_CASE("split: workers are routers of their own, told apart, and no two share a seed") {
+  badgercourse::Settings settings;
+  settings.routers = 3;
+  settings.ordinal = 2;
+  std::map<int, int> seen;
+  for (std::size_t w = 0; w < 4; ++w) {
+    auto s = settings_of_worker(settings, w, 4);
+    CHECK(s.routers == 12);
+    CHECK(s.ordinal < 12);
+    ++seen[s.ordinal];
+    for (std::size_t other = 0; other < w; ++other) CHECK(seed_of_worker(9, w) != seed_of_worker(9, other));
+  }
+  CHECK(seen.size() == 4);
+}
+
+TEST_CASE("timers: as a sorted list would call them, whatever is set and cancelled, also from within calls") {
+  auto seed = std::random_device{}();
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  net::Timers timers;
+  using Micros = net::Micros;
+  std::map<std::pair<Micros, int>, net::Timers::Id> expected;
+  std::vector<int> called;
+  Micros now(123'456'789);
+  int next = 0;
+  for (int step = 0; step < 20000; ++step) {
+    auto what = random() % 10;
+    if (what < 5) {
+      // Mostly soon, some behind the wheel's round, some in the past.
+      auto span = std::array<std::int64_t, 4>{2000, 300'000, 30'000'000, -5000}[random() % 4];
+      auto when =
+          now + Micros(span < 0 ? span : static_cast<std::int64_t>(random() % static_cast<unsigned>(span)));
+      int number = next++;
+      expected[{when, number}] = timers.at(when, [&called, number] { called.push_back(number); });
+    } else if (what < 8 && !expected.empty()) {
+      auto it = std::next(expected.begin(), static_cast<long>(random() % expected.size()));
+      timers.cancel(it->second);
+      timers.cancel(it->second);  // again does nothing
+      expected.erase(it);
+    } else {
+      auto first = timers.next();
+      REQUIRE(first.has_value() == !expected.empty());
+      if (first) REQUIRE(*first == expected.begin()->first.first);
+      now += Micros(static_cast<std::int64_t>(random() % (random() % 50 == 0 ? 9'000'000 : 20'000)));
+      called.clear();
+      timers.run(now);
+      std::vector<int> due;
+      while (!expected.empty() && expected.begin()->first.first <= now) {
+        due.push_back(expected.begin()->first.second);
+        expected.erase(expected.begin());
+      }
+      REQUIRE(called == due);
+    }
+    REQUIRE(timers.size() == expected.size());
+  }
+  // A call that sets one for now, and one that cancels the next.
+  called.clear();
+  net::Timers::Id victim = net::Timers::kNone;
+  now += Micros(60'000'000);
+  timers.run(now);
+  called.clear();
+  timers.at(now + Micros(1), [&] {
+    timers.cancel(victim);
+    timers.at(now, [&] { called.push_back(2); });
+    called.push_back(1);
+  });
+  victim = timers.at(now + Micros(2), [&] { called.push_back(3); });
+  timers.run(now + Micros(10));
+  CHECK(called == std::vector<int>{1, 2});
+  CHECK(timers.size() == 0);
+}
+
+}  // namespace linenwinch::workers
