--- a/src/workers/group.cpp
+++ b/src/workers/group.cpp
@@ -73,7 +73,8 @@
       if (!group_.told_ready_.exchange(true)) group_.log_(net::Level::kInfo, "ready to serve");
     };
   }
-  ~Worker() override {
+  ~Worker() override { join(); }
+  void join() {
     if (thread_.joinable()) thread_.join();
   }
 
@@ -290,6 +291,7 @@
   for (auto& worker : workers_) worker->start();
   discovery_->start();
   control_.run([this] { mailbox_.drain(); });
+  for (auto& worker : workers_) worker->join();  // one may still be telling of its end
   if (decisions_) decisions_->stop();
   for (auto& worker : workers_) counters_.add(worker->proxy().dispatcher().counters());
   if (decisions_) counters_.probes += decisions_->probes();
--- a/tests/workers/group_test.cpp
+++ b/tests/workers/group_test.cpp
@@ -45,6 +45,7 @@
       group->run();
       returned = group->returned();
       counters = group->counters();
+      told_.get_future().wait();  // whoever had it stop may still be in that call
       group.reset();
     });
     started.get_future().wait();
@@ -52,12 +53,13 @@
   ~RunningGroup() { stop(); }
   void stop() {
     if (!thread_.joinable()) return;
-    if (!gently_) group->stop_now();
+    group->stop_now();
+    told_.set_value();
     thread_.join();
   }
   void stop_gently() {
-    gently_ = true;
     group->shut_down();
+    told_.set_value();
     thread_.join();
   }
   // Holds one worker, or the decision thread, still for so long.
@@ -74,7 +76,7 @@
   proxy::Counters counters;
 
  private:
-  bool gently_ = false;
+  std::promise<void> told_;
   std::thread thread_;
 };
 
