--- a/src/lab/cores.cpp
+++ b/src/lab/cores.cpp
@@ -215,15 +215,16 @@
 Layout lay_out(const std::vector<int>& cpus, int workers, bool decision_thread, int most_workers) {
   Layout layout;
   auto n = static_cast<int>(cpus.size());
-  // The rig has the last processors, the same ones for every way: three of eight, one or two of fewer.
-  int rig = n >= 8 ? 3 : n >= 4 ? 2 : 1;
+  // The rig has the last processors, the same ones for every way: what the most workers and the decision
+  // thread leave.
+  int rig = std::max(n >= 4 ? 2 : 1, n - most_workers - 1);
   int first_rig = std::max(0, n - rig);
   for (int i = 0; i < workers + (decision_thread ? 1 : 0); ++i) {
     layout.crowded |= i >= first_rig;
     layout.daemon.push_back(cpus[static_cast<std::size_t>(std::min(i, n - 1))]);
   }
   layout.crowded |= most_workers > first_rig;
-  int stand_in = rig >= 3 ? 2 : 1;
+  int stand_in = std::max(1, rig - 1);
   for (int i = 0; i < stand_in; ++i)
     layout.stand_in.push_back(cpus[static_cast<std::size_t>(std::min(first_rig + i, n - 1))]);
   layout.load.push_back(cpus.back());
--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -252,7 +252,7 @@
   if ((events & EPOLLOUT) && !out_.flush(fd_.get())) return close();
   if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
   auto before = in_.view().size();
-  auto end = in_.fill(fd_.get(), kReadCap);
+  auto end = in_.fill(fd_.get(), kReadCap, SIZE_MAX, !net::ends(events));
   if (before == 0 && !in_.view().empty()) begun_ = server_.now();
   if (server_.model.life() != Life::kSilent) take();
   if (fd_ && end == net::IoEnd::kClosed) close();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -20,7 +20,8 @@
 constexpr Micros kMost = 15s;
 // Standard streams, epoll, the signals, the listener, discovery, the log: and some to spare.
 constexpr std::size_t kOwnDescriptors = 16;
-constexpr std::size_t kKeptBack = 8;  // of these, while another proxy of the process makes room
+constexpr std::size_t kOfEachProxy = 2;  // of several: each one's epoll, and one to spare
+constexpr std::size_t kKeptBack = 8;     // of these, while another proxy of the process makes room
 // Clients with requests hold a third of the descriptors at most. Two thirds for all clients leave those their
 // part beside as many silent ones, and data servers the last third.
 constexpr double kClientShare = 2.0 / 3;
@@ -112,7 +113,7 @@
 
 std::size_t Proxy::descriptors_in_use() const {
   auto own = loop_.watched() + kOwnDescriptors;
-  return others_ ? own + others_->others().descriptors : own;
+  return others_ ? own + kOfEachProxy * options_.count + others_->others().descriptors : own;
 }
 
 std::size_t Proxy::clients_in_all() const {
--- a/src/workers/group.cpp
+++ b/src/workers/group.cpp
@@ -23,7 +23,7 @@
 // The same share of descriptors as a proxy by itself leaves to clients, and what the process needs of its
 // own.
 constexpr double kClientShare = 2.0 / 3;
-constexpr std::size_t kOwnDescriptors = 16;
+constexpr std::size_t kOwnDescriptors = 16, kOfEachProxy = 2;
 
 }  // namespace
 
@@ -191,7 +191,8 @@
       for (auto& s : seats) dealt += s.dealt;
       auto limit = group_.descriptors_.load();
       auto most = static_cast<double>(limit - kOwnDescriptors) * kClientShare;
-      auto own = kOwnDescriptors * seats.size() + (group_.decisions_ ? group_.decisions_->descriptors() : 0);
+      auto own = kOwnDescriptors + kOfEachProxy * seats.size() +
+                 (group_.decisions_ ? group_.decisions_->descriptors() : 0);
       if (static_cast<double>(all.clients + dealt) >= most || all.descriptors + dealt + own >= limit) {
         if (auto giver = give_room(seats, std::nullopt))
           group_.workers_[*giver]->post([&p = group_.workers_[*giver]->proxy()] { p.give_room(); });
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -233,6 +233,7 @@
   CHECK(eight.stand_in == std::vector<int>{5, 6});
   CHECK(eight.load == std::vector<int>{7});
   CHECK_FALSE(eight.crowded);
+  CHECK(lay_out({0, 1, 2, 3, 4, 5, 6, 7}, 1, false, 3).stand_in == std::vector<int>{4, 5, 6});
   auto four = lay_out({0, 1, 2, 3}, 2, true, 2);
   CHECK(four.daemon == std::vector<int>{0, 1, 2});
   CHECK(four.crowded);
--- a/tests/workers/group_test.cpp
+++ b/tests/workers/group_test.cpp
@@ -351,6 +351,44 @@
   }
 }
 
+TEST_CASE("workers: where one has no descriptor left for a server, another gives up a silent client") {
+  auto o = options(2);
+  o.accept = workers::Accept::kReusePort;  // dealing would even out what is to be uneven here
+  GroupRig rig(o, 60);
+  std::atomic<bool> release{false};
+  rig.primary.reply = rig.replica.reply = rig.second.reply = [&](const std::string& sql) {
+    if (sql.find("id=hold") != std::string::npos) soon([&] { return release.load(); });
+    return Reply{};
+  };
+  // Worker 1 gets one client that has asked nothing and so has no connection to a server yet; worker 0 gets
+  // 15 whose requests hold one each, and 4 silent ones. That is a little over the limit.
+  std::vector<std::unique_ptr<Placed>> busy, silent;
+  std::unique_ptr<Placed> last;
+  for (int i = 0; i < 400 && silent.size() < 4; ++i) {
+    auto placed = std::make_unique<Placed>(rig.port, 2);
+    if (placed->worker == 1) {
+      if (!last) last = std::move(placed);  // else it leaves
+    } else {
+      (busy.size() < 15 ? busy : silent).push_back(std::move(placed));
+    }
+  }
+  REQUIRE(last);
+  REQUIRE(silent.size() == 4);
+  for (std::size_t i = 0; i < busy.size(); ++i)
+    busy[i]->client.send(pg::simple_query(read_sql("hold" + std::to_string(i), 4000)));
+  auto open = [&] { return rig.primary.open + rig.replica.open + rig.second.open; };
+  REQUIRE(soon([&] { return rig.replica.out + rig.second.out + rig.primary.out >= 15; }));
+  auto clients = rig.running->group->clients(0);
+  auto connections = open();
+  // Two at once: one of them may find a connection that its worker has kept, the other cannot.
+  last->client.send(pg::simple_query(read_sql("hold-a", 4000)) + pg::simple_query(read_sql("hold-b", 4000)));
+  CHECK(soon([&] { return open() > connections; }, 2s));
+  CHECK(soon([&] { return rig.running->group->clients(0) < clients; }, 1s));
+  release = true;
+  for (auto& b : busy) CHECK(b->client.answer().row);
+  for (int i = 0; i < 2; ++i) CHECK(last->client.answer().row);
+}
+
 TEST_CASE("workers: connections to one server stay near their cap over all workers") {
   auto o = options(4);
   o.connections_per_server = 6;
