Send what is answered before a client connection is closed

Cause: answers gathered within a turn would have been dropped when the connection was closed later in that same turn.

Change: close() hands them to the socket first, as far as that takes them.

--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -72,6 +72,8 @@
 
 void ClientSession::close() {
   if (!fd_) return;
+  // What is answered already goes out as far as the socket takes it.
+  if (!gathered_.empty()) out_.write(fd_.get(), {std::exchange(gathered_, {})});
   loop_.cancel(&timer_);
   owner_.buffered(-static_cast<std::ptrdiff_t>(std::exchange(counted_, 0)));
   loop_.remove(fd_.get(), this);
