Keep probes of all proxies within one budget and ask discovery apart from the others

All 100 asked in the same 25 ms; 39 got through within the 2 s that a call waits, and the other 61 asked for the whole list twice a second for ever (watch.cpp: whole_ = true and at most 500 ms after any failure, the same at each proxy).

Changed: - decide.cpp: all probes spend from one budget; what it earns a request follows the settings' price of a probe, its burst is that of all routers together and each draws its part from its seed. A write whose primary is unknown is tried at members not yet met (they turn it away untouched) where no probe can be had for it. - discovery/pace.h: the first calls of all routers are spread, a refusing service gets ever longer pauses, drawn by seed and in proportion to how many share it; 5xx and 429 no longer lead to a call for the whole list. - Come-back times of refusals are spread around half the aim.

Tests: 100 routers before 54 members in simulated time (tests/fleet.h), a discovery at its limit.

--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -74,7 +74,7 @@
   double coldShare = 1, tipMultiple = 1;
   bool removalNotBinding = false;
   // prices, points a unit
-  double overShareWorth = 1, crossZoneFee = 0;
+  double overShareWorth = 1, crossZoneFee = 0, probeFee = 0;
 };
 
 struct Report {
--- a/src/discovery/keeper.cpp
+++ b/src/discovery/keeper.cpp
@@ -6,8 +6,9 @@
 
 namespace linenwinch::discovery {
 
-Keeper::Keeper(net::Loop& loop, const std::string& address, std::int64_t generation, Told told, net::Log log)
-    : loop_(loop), told_(std::move(told)), log_(std::move(log)) {
+Keeper::Keeper(net::Loop& loop, const std::string& address, std::int64_t generation, Pace pace, Told told,
+               net::Log log)
+    : loop_(loop), pace_(std::move(pace)), told_(std::move(told)), log_(std::move(log)) {
   watch_ = watch(address, generation);
 }
 
@@ -16,7 +17,7 @@
   if (!parsed) throw std::runtime_error("discovery is no address: '" + address + "'");
   watched_ = address;
   return std::make_unique<Watch>(
-      loop_, *parsed, address, generation,
+      loop_, *parsed, address, generation, pace_,
       [this, number = ++watches_](MemberUpdate update) { told(number, std::move(update)); }, log_);
 }
 
@@ -32,7 +33,7 @@
 void Keeper::move_to(const std::string& address) {
   if (address == watched_) return;
   next_watch_ = watch(address, std::nullopt);
-  next_watch_->start();
+  next_watch_->start_now();
 }
 
 }  // namespace linenwinch::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -15,21 +15,19 @@
 // Discovery's agent answers at once when something changes, so a short wait costs nothing; it bounds how long
 // a watch that was lost in silence goes unnoticed.
 constexpr net::Micros kWait = 5s, kPatience = 1s;
-// A new call must come within 200 ms of the last answer, or it starts a new watch.
-constexpr net::Micros kFirstPause = 20ms, kLongestPause = 500ms;
 constexpr std::size_t kCap = 2 * 1024 * 1024;
 
 }  // namespace
 
 Watch::Watch(net::Loop& loop, net::Address address, std::string host, std::optional<std::int64_t> generation,
-             Told told, net::Log log)
+             Pace pace, Told told, net::Log log)
     : loop_(loop),
       address_(address),
       host_(std::move(host)),
       generation_(generation.value_or(0)),
       told_(std::move(told)),
       log_(std::move(log)),
-      pause_(kFirstPause),
+      pace_(std::move(pace)),
       whole_(!generation) {}
 
 Watch::~Watch() { disconnect(); }
@@ -87,8 +85,11 @@
     in_.consume(response.size);
     if (response.status < 200) continue;  // an interim answer
     if (response.status != 200) {
-      whole_ = true;  // perhaps it does not know our version: ask for all of it
-      return broken(fmt::format("it answered with status {}", response.status));
+      // A service at its limit knows our version as before, and the whole list is the dearest thing to ask of
+      // it; any other refusal may mean that it does not.
+      bool refused = response.status >= 500 || response.status == 429;
+      whole_ = whole_ || !refused;
+      return broken(fmt::format("it answered with status {}", response.status), refused);
     }
     try {
       auto update = parse_members(response.body);
@@ -97,7 +98,7 @@
       whole_ = false;
       if (failing_) log_(net::Level::kInfo, "discovery answers again");
       failing_ = false;
-      pause_ = kFirstPause;
+      pace_.answered();
       told_(std::move(update));
     } catch (const std::invalid_argument& e) {
       whole_ = true;
@@ -109,12 +110,16 @@
   if (ended && fd_) broken("the connection ended");
 }
 
-void Watch::broken(const std::string& why) {
+void Watch::broken(const std::string& why, bool refused) {
   if (!failing_) log_(net::Level::kWarning, fmt::format("discovery does not answer: {}", why));
   failing_ = true;
   disconnect();
-  timer_ = loop_.at(loop_.now() + pause_, [this] { connect(); });
-  pause_ = std::min(pause_ * 2, kLongestPause);
+  pause(refused ? pace_.after_refusal() : pace_.after_break());
+}
+
+void Watch::pause(net::Micros time) {
+  if (time.count() == 0) return connect();
+  timer_ = loop_.at(loop_.now() + time, [this] { connect(); });
 }
 
 }  // namespace linenwinch::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "discovery/members.h"
+#include "discovery/pace.h"
 #include "net/buffer.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -19,16 +20,18 @@
   // `host` is what the Host field says; `generation` is the version that is known already. Without one, the
   // whole list comes first: what another discovery counts says nothing here.
   Watch(net::Loop& loop, net::Address address, std::string host, std::optional<std::int64_t> generation,
-        Told told, net::Log log);
+        Pace pace, Told told, net::Log log);
   ~Watch() override;
-  void start() { connect(); }
+  void start() { pause(pace_.first()); }
+  void start_now() { connect(); }
   void on_ready(std::uint32_t events) override;
 
  private:
   void connect();
   void ask();
   void read(bool ended);
-  void broken(const std::string& why);
+  void broken(const std::string& why, bool refused = false);
+  void pause(net::Micros time);
   void disconnect();
 
   net::Loop& loop_;
@@ -41,7 +44,7 @@
   net::InBuffer in_;
   net::OutBuffer out_;
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;  // of the answer that is due, or of the next try
-  net::Micros pause_;
+  Pace pace_;
   bool whole_;  // the next call asks for all of the list
   bool connected_ = false, failing_ = false;
 };
--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -34,12 +34,13 @@
 constexpr double kLastCall = 1.5;     // of its latency at the primary: so late a postponed read goes there
 constexpr double kQuiet = 0.125;      // of the smallest aim: silence that raises a question
 constexpr double kHeavy = 3;  // times the lightest class's latency: requests too heavy for a cold member
-constexpr double kColdReplica = 1.0;  // of the proportional load: what a cold replica is given
-constexpr double kBacklog = 2;        // of the time held: what waited for a cold primary is let go over this
-constexpr double kColdPrimary = 0.4;  // of the guaranteed multiple: what a cold primary is given
-constexpr int kCalmTime = 8;          // fall windows: over so long it is measured what used to be done
-constexpr double kCatchUp = 2;        // seconds of log a second: a replica catches up no faster
-constexpr double kProbesPerRequest = 0.5, kProbeBurst = 24;  // probes for positions spend from this
+constexpr double kColdReplica = 1.0;   // of the proportional load: what a cold replica is given
+constexpr double kBacklog = 2;         // of the time held: what waited for a cold primary is let go over this
+constexpr double kColdPrimary = 0.4;   // of the guaranteed multiple: what a cold primary is given
+constexpr int kCalmTime = 8;           // fall windows: over so long it is measured what used to be done
+constexpr double kCatchUp = 2;         // seconds of log a second: a replica catches up no faster
+constexpr double kProbeSpend = 0.005;  // points of the result a request: what all probes may cost
+constexpr double kProbesPerRequest = 0.5, kProbeBurst = 72;  // at most; the burst is that of all routers
 constexpr double kBadErrors = 0.25;  // share of errors above its peers' at which a member is set aside
 constexpr double kOverdue = 2;       // of a class's latency: an attempt out for longer raises a question
 constexpr double kVanished = 0.01;   // share of attempts lost in silence from which late ones are called back
@@ -157,7 +158,7 @@
   std::vector<Group*> dirty, waiting;  // to be decided in this batch; with requests held after the last one
   std::vector<Member*> active;         // with attempts or a probe out: those that are watched
   bool timerSet = false, subscribed = false;
-  double probeTokens = kProbeBurst;
+  double probeTokens = 0, probeBurst = 0, probesPerRequest = kProbesPerRequest;
   double vanished = 0;  // share of attempts that no answer came to, though their member was well
   Rate asked, inTime;   // as in each group
   Rate arriving, done;  // work asked of this router of late; work done for it over a longer time
@@ -192,6 +193,10 @@
     arriving.span = std::max(set.fallTime, set.step);
     done.span = arriving.span * kCalmTime;
     halfBound = bound == Micros::max() ? aim * 4 : bound / 2;
+    // Hundreds that start together must not probe everything at once: each draws its part of one burst.
+    probeBurst = std::min(kProbeBurst / 3, kProbeBurst / std::max(1, set.routers));
+    probeTokens = set.routers > 3 ? probeBurst * (1 - 2 * coin(0, ~0u)) : probeBurst;
+    if (set.probeFee > 0) probesPerRequest = std::min(probesPerRequest, kProbeSpend / set.probeFee);
   }
 
   const RequestClass& cls(const Open& o) const { return set.classes[o.r.cls]; }
@@ -484,8 +489,10 @@
 
   void finish(Open& o) {
     RequestId id = o.r.id;
+    // Spread, lest all that were refused in one trouble come back as one.
+    Micros after = std::min(set.maxRetryAfter, part(cls(o).aim, 0.25 + 0.5 * coin(id, ~1u)));
     if (mayRefuse(o))
-      out.push_back(Refuse{id, set.retryAfter ? std::min(set.maxRetryAfter, cls(o).aim / 2) : Micros(0)});
+      out.push_back(Refuse{id, set.retryAfter ? after : Micros(0)});
     else
       out.push_back(Fail{id});
     open.erase(id);
@@ -596,10 +603,12 @@
     if (static_cast<int>(o.attempts.size()) >= set.maxAttempts - 2) return nullptr;
     Member* best = nullptr;
     for (auto* m : g.members) {
-      if (m->muteAt != kNone || !mayUse(*m, true) || now - m->heardAt > quiet * 4) continue;
+      if (m->muteAt != kNone || !mayUse(*m, true)) continue;
+      if (probeTokens > 1 && now - m->heardAt > quiet * 4) continue;  // a probe asks it first
       if ((m->triedAt != kNone && now - m->triedAt < quiet * 2) || coldPart(*m) < 1) continue;
       if (!room(g, *m, o)) continue;
-      if (!best || m->position > best->position) best = m;
+      bool unknown = m->role == Role::Unknown, bestUnknown = best && best->role == Role::Unknown;
+      if (!best || (unknown != bestUnknown ? unknown : m->position > best->position)) best = m;
     }
     if (best) best->triedAt = now;
     return best;
@@ -647,7 +656,7 @@
   }
 
   void probe(Member& m) {
-    if (!set.probes || m.probeAt != kNone) return;
+    if (!set.probes || m.probeAt != kNone || probeTokens <= -probeBurst) return;
     m.probeAt = m.lastProbe = now;
     activate(m);
     probeTokens -= 1;
@@ -681,7 +690,7 @@
         best = m;
       }
     }
-    if (best && probeTokens > -kProbeBurst)
+    if (best)
       probe(*best);
     else if (soonest != kNone)
       wakeAt = std::min(wakeAt, soonest);
@@ -949,7 +958,7 @@
         o.need = mark != marks.end() ? mark->second : forgotten;
       }
     }
-    probeTokens = std::min(kProbeBurst, probeTokens + kProbesPerRequest);
+    probeTokens = std::min(probeBurst, probeTokens + probesPerRequest);
     Open& kept = open.emplace(r.id, std::move(o)).first->second;
     auto group = groups.find(r.group);
     if (group == groups.end()) return finish(kept);  // clients may name any number: nothing is kept for it
--- a/src/module/settings.cpp
+++ b/src/module/settings.cpp
@@ -151,6 +151,7 @@
   s.removalNotBinding = flag("Guarantees.RemovalNotBinding");
   s.overShareWorth = number("OverShareWorth", 1);
   s.crossZoneFee = number("Fees.CrossZone", 0);
+  s.probeFee = number("Fees.Probe", 0);
   return s;
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -45,7 +45,7 @@
 Proxy::Proxy(net::Loop& loop, routing::Decider& decider, ProxyOptions options, net::Log log)
     : Proxy(loop, decider, std::move(options), std::move(log), nullptr) {
   discovery_.emplace(
-      loop_, options_.discovery, options_.known.generation,
+      loop_, options_.discovery, options_.known.generation, options_.pace,
       [this](discovery::MemberUpdate update) { dispatcher_.list(std::move(update)); }, log_);
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -18,6 +18,7 @@
   std::size_t memory = 64 << 20;  // bytes
   PoolLimits pool;
   discovery::MemberUpdate known;
+  discovery::Pace pace{};
   // Of several proxies in one process: which one, of how many. `listens`: it accepts clients itself, on an
   // address that they share; otherwise they are given to it by adopt().
   std::uint32_t number = 0, count = 1;
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,72 @@
+// What many routers do together that is harmless in one: 100 of them before 60 members, in simulated time.
+#include "fleet.h"
+
+#include <set>
+
+namespace badgercourse::test {
+namespace {
+
+constexpr std::uint64_t kSeed = 15;  // of every fleet here
+constexpr int kRouters = 100, kGroups = 18, kEach = 3;
+constexpr double kPerSecond = 1500;  // 15 a second at each router: it meets a group less than once a second
+
+Settings fleetSettings() {
+  auto s = settings(Checks::Reject);
+  for (auto& c : s.classes) c.aim = 150ms, c.deadline = 700ms;
+  s.classes[kKeyedWrite].aim = 360ms;
+  s.classes[kKeyedWrite].deadline = 1700ms;
+  s.classes[kKeyedWrite].keyWindow = 5s;
+  s.listRole = ListRole::Off;
+  s.maxAttempts = 8;
+  s.probeFee = 0.08;
+  return s;
+}
+struct AFleet : ::testing::Test {
+  AFleet() { RecordProperty("seed", static_cast<int>(kSeed)); }
+  Fleet fleet{fleetSettings(), kRouters, kGroups, kEach, kSeed};
+};
+
+// Each router probed every member of a group whose primary it did not know: 3.7 probes a request.
+TEST_F(AFleet, AllThatStartTogetherLearnTheRolesFromWorkNotProbes) {
+  fleet.load(1s, kPerSecond, 0.2);
+  auto first = fleet.total();
+  EXPECT_LT(first.probes, fleet.asked / 5);
+  for (auto& [id, c] : fleet.counts) EXPECT_LT(c.probes, 25) << "on member " << id << " in its first second";
+  fleet.load(4s, kPerSecond, 0.2);
+  fleet.run(fleet.now + 2s);
+  EXPECT_LT(fleet.total().probes, fleet.asked / 8);
+  EXPECT_GT(fleet.served, fleet.asked * 97 / 100);
+}
+
+// A list that is out of date names members that have gone: asking them again brings nothing.
+TEST_F(AFleet, ServersThatAreGoneAreNotProbedWithoutEnd) {
+  fleet.load(2s, kPerSecond, 0.2);
+  auto before = fleet.total();
+  int asked = fleet.asked;
+  for (auto& [id, m] : fleet.members)
+    if (m.group % 2 == 0) m.up = false;
+  fleet.load(3s, kPerSecond, 0.2);
+  EXPECT_LT(fleet.total().probes - before.probes, (fleet.asked - asked) / 6);
+}
+
+// One time to come back for all that were refused at once would bring all of them back at once.
+TEST(Refusals, ComeBackTimesAreSpread) {
+  auto s = fleetSettings();
+  Router router(s, kSeed);
+  auto e = entry(1);
+  std::set<Micros> times;
+  router.handle(10s, {list(ListKind::Full, {e})});
+  for (RequestId id = 1; id <= 20; ++id) {
+    auto q = request(id, kBounded, 10s + 700ms);
+    q.group = 99;  // no such group: refused at once
+    for (auto& refuse : only<Refuse>(router.handle(10s, {q}))) times.insert(refuse.retryAfter);
+  }
+  EXPECT_GT(times.size(), 15u);
+  for (auto t : times) {
+    EXPECT_GE(t, 37ms);
+    EXPECT_LE(t, 113ms);
+  }
+}
+
+}  // namespace
+}  // namespace badgercourse::test
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -1,11 +1,13 @@
 // Tables of cases, good and bad, for everything that reads a peer's bytes.
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "app/config.h"
 #include "discovery/http.h"
 #include "discovery/members.h"
+#include "discovery/pace.h"
 #include "net/socket.h"
 #include "pg/message.h"
 #include "pg/statement.h"
@@ -292,3 +294,48 @@
 }
 
 }  // namespace linenwinch
+
+// ---- when discovery is asked ---------------------------------------------------------------------------
+
+// A service that answers a call every `kEach` and turns away whom it would keep waiting for longer than 2 s.
+// With one pace for all, hundreds asked for the whole list twice a second for ever, and none had it.
+TEST_CASE("Routers that start together all come through to a discovery at its limit") {
+  using namespace std::chrono_literals;
+  using linenwinch::discovery::Pace;
+  constexpr Pace::Micros kEach = 50ms, kMost = 2s;
+  constexpr int kRouters = 100;
+  std::vector<Pace> paces;
+  std::multimap<Pace::Micros, int> due;
+  for (int r = 0; r < kRouters; ++r) {
+    paces.emplace_back(kRouters, true, static_cast<std::uint64_t>(r + 1));
+    due.emplace(paces.back().first(), r);
+  }
+  Pace::Micros busy_until{0}, last{0};
+  int calls = 0;
+  while (!due.empty() && calls < 10000) {
+    auto [at, r] = *due.begin();
+    due.erase(due.begin());
+    ++calls;
+    busy_until = std::max(busy_until, at);
+    if (busy_until - at > kMost) {
+      busy_until += kEach / 4;  // turning away is work as well
+      due.emplace(at + paces[static_cast<std::size_t>(r)].after_refusal(), r);
+    } else {
+      last = busy_until += kEach;
+    }
+  }
+  CHECK(calls < 2 * kRouters);
+  CHECK(last < 12s);
+}
+
+TEST_CASE("One router asks at once, and soon again") {
+  using namespace std::chrono_literals;
+  linenwinch::discovery::Pace alone(1, false, 7), three(3, true, 7);
+  CHECK(alone.first() == 0ms);
+  CHECK(alone.after_break() <= 20ms);
+  CHECK(alone.after_refusal() <= 30ms);
+  CHECK(three.first() <= 105ms);
+  for (int i = 0; i < 20; ++i) alone.after_refusal(), alone.after_break();
+  CHECK(alone.after_refusal() <= 750ms);
+  CHECK(alone.after_break() <= 500ms);
+}
