--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -14,7 +14,8 @@
 
 struct FleetMember {
   GroupId group = 0;
-  bool primary = false, up = true, bad = false;  // bad: every request fails at once
+  bool primary = false, up = true;
+  double errors = 0;  // share of requests that fail at once
   Micros startedAt{0};
   Micros lag = 10ms, work = 8ms;
 };
@@ -152,7 +153,7 @@
       ++c.unreachable;
     } else if ((write && !m.primary) || (!write && !m.primary && m.lag > settings_.classes[kBounded].bound)) {
       o.status = Status::Absent, o.taken = 1ms, ++c.missed;
-    } else if (m.bad) {
+    } else if (chance() < m.errors) {
       o.status = Status::Failure, o.taken = 1ms, ++c.failed;
     } else {
       ++c.served, ++served;
