Count what a server turns away no longer as late, and test a fleet's faults on real sockets

Seen: with the only replica's table of connections full, 3 of 6 reads were refused though the primary answered the rest at once (the new test on real sockets). Line at fault: absorb(Outcome) in decide.cpp gave an attempt turned away to ended() as one not answered in time, so shed() refused the next requests; where few are seen, one is enough. It never ran, costs next to nothing and says so; what nobody takes is given up by hopeless() as before.

Tests on loopback sockets: discovery that refuses with 503 (no call for the whole list, the last list serves), discovery silent from the start, a full table of connections, a whole list of new servers with one that refuses.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -737,8 +737,7 @@
       }
       bool hurried = it != open.end() && outOfTime(m, it->second, *flight, e);
       if (!hurried && !lostInSilence(m, *flight, e)) judge(m, *flight, e);
-      if (!hurried &&
-          (e.status == Status::Success || e.status == Status::TimedOut || e.status == Status::Overloaded))
+      if (!hurried && (e.status == Status::Success || e.status == Status::TimedOut))
         ended(g, e.status == Status::Success && it != open.end() && now <= it->second.useful);
       if (it != open.end() && !hurried && (e.status == Status::Success || lostInSilence(m, *flight, e)))
         countVanished(it->second, e);
--- a/tests/net/peers_test.cpp
+++ b/tests/net/peers_test.cpp
@@ -179,4 +179,60 @@
   CHECK(goes.calls == 0);
 }
 
+// ---- what a large fleet does to one proxy --------------------------------------------------------------
+
+TEST_CASE("fleet: a discovery that refuses is not asked for the whole list, and the last list serves on") {
+  Rig rig;
+  Client client(rig.port);
+  CHECK(client.ask(read_sql("d0", 900)).row);
+  auto wholes = rig.discovery.wholes.load();
+  rig.discovery.refusals = 4;
+  REQUIRE(soon([&] { return rig.discovery.refusals == 0; }));
+  CHECK(client.ask(read_sql("d1", 900)).row);
+  Server fresh(true);
+  rig.discovery.set(entry("s-n", fresh));
+  CHECK(soon([&] { return client.ask(read_sql("d2", 400)).row && fresh.count() > 0; }));
+  CHECK(rig.discovery.wholes == wholes);
+}
+
+TEST_CASE("fleet: with a discovery that is silent from the start, the known list serves") {
+  Rig rig(200, "", true);
+  Client client(rig.port);
+  CHECK(client.ask(read_sql("q1", 900)).row);
+  CHECK(client.ask(write_sql("q2", 900)).row);
+  rig.discovery.silent = false;
+}
+
+TEST_CASE(
+    "fleet: a server whose table of connections is full costs one attempt, and a read goes on elsewhere") {
+  Rig rig;
+  rig.replica.full = true;
+  Client client(rig.port);
+  for (int i = 0; i < 6; ++i) CHECK(client.ask(read_sql("f" + std::to_string(i), 1500)).row);
+  CHECK(rig.replica.count() == 0);
+  CHECK(rig.replica.connections <= 12);  // it is not stormed: one attempt a request, and probes
+  rig.replica.full = false;
+  CHECK(soon([&] { return client.ask(read_sql("g", 900)).row && rig.replica.count() > 0; }));
+}
+
+TEST_CASE("fleet: a whole list in which most servers are new, with one that refuses, moves all work") {
+  Rig rig;
+  Client client(rig.port);
+  CHECK(client.ask(write_sql("w0", 900)).row);
+  Server primary(true), one(false), two(false);
+  std::string gone;
+  {
+    Server dead(false);
+    gone = entry("s-x", dead);  // nobody listens there any more
+  }
+  rig.discovery.set(gone + "," + entry("s-1", one) + "," + entry("s-2", two) + "," + entry("s-0", primary));
+  REQUIRE(soon([&] { return client.ask(write_sql("w", 900)).row && primary.count() > 0; }));
+  auto old = rig.primary.count() + rig.replica.count();
+  for (int i = 0; i < 10; ++i) {
+    CHECK(client.ask(write_sql("w" + std::to_string(i + 1), 1500)).row);
+    CHECK(client.ask(read_sql("r" + std::to_string(i), 1500)).row);
+  }
+  CHECK(rig.primary.count() + rig.replica.count() == old);
+}
+
 }  // namespace linenwinch::test
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -159,6 +159,7 @@
 
   std::function<Reply(const std::string&)> reply = [](const std::string&) { return Reply{}; };
   std::atomic<int> connections{0}, open{0}, out{0}, most_out{0}, probes{0};
+  std::atomic<bool> full{false};  // its table of connections is: each new one is turned away
   std::string address() const { return listening_.address(); }
   std::vector<std::string> statements() {
     std::lock_guard lock(mutex_);
@@ -178,6 +179,10 @@
     while (pg::parse_first(peer.in, &first) != pg::Parse::kOk)
       if (!peer.more()) return;
     peer.in.erase(0, first.size);
+    if (full) {
+      peer.send(pg::error_response("FATAL", "53300", "too many connections"));
+      return;
+    }
     peer.send(pg::greeting(1, 2));
     while (true) {
       auto [type, body] = peer.message();
@@ -245,7 +250,9 @@
     return "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[" + instances_ +
            "]}";
   }
-  std::atomic<int> calls{0}, breaks{0};  // breaks: so many calls end with the connection cut
+  std::atomic<int> calls{0}, breaks{0};     // breaks: so many calls end with the connection cut
+  std::atomic<int> refusals{0}, wholes{0};  // so many calls are refused with 503; calls for the whole list
+  std::atomic<bool> silent{false};          // calls get no answer
 
  private:
   void serve(Peer& peer) {
@@ -256,6 +263,14 @@
       if (auto at = peer.in.find("after="); at != std::string::npos) after = std::atoi(&peer.in[at + 6]);
       peer.in.clear();
       ++calls;
+      wholes += after < 0;
+      while (silent)
+        if (!peer.more()) return;
+      if (refusals > 0) {
+        --refusals;
+        peer.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        continue;
+      }
       if (breaks > 0) {
         --breaks;
         return;
@@ -354,7 +369,8 @@
 
 // A set of one primary and one replica, discovery, and the proxy.
 struct Rig {
-  explicit Rig(std::size_t descriptors = 200, const std::string& extra = "") {
+  explicit Rig(std::size_t descriptors = 200, const std::string& extra = "", bool silent = false) {
+    discovery.silent = silent;
     discovery.set(entry("s-p", primary) + "," + entry("s-r", replica));
     config = app::parse_config(config_text(discovery.address(), discovery.list(), extra));
     config.sockets = descriptors;
