Refuse for overload by a set's own evidence, and let small limits lend the primary twice

Now the four count as answered in time. The sums over all sets are gone. - choose() let a primary whose limit is one attempt take a member's part of the reads that waited long, 1 in 3 or 4; now twice that.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -19,7 +19,7 @@
 constexpr double kStep = 0.1;         // of a limit: its largest change with one answer
 constexpr double kTie = 1.25;         // costs that differ by less are equal
 constexpr int kSameErrors = 2;        // members: a read that failed at so many is not sent again
-constexpr double kFewAttempts = 4;    // attempts: so much what is seen everywhere counts in each group
+constexpr double kFewAttempts = 4;    // attempts in time that each group is credited with
 constexpr double kShedAt = 1.05;      // of the share answered in time: the share of requests let in
 constexpr int kShedTime = 8;          // smallest aims over which that is measured
 constexpr int kForget = 32;           // smallest aims: half of what a latency said has faded after so long
@@ -160,8 +160,8 @@
   std::vector<Member*> active;         // with attempts or a probe out: those that are watched
   bool timerSet = false, subscribed = false, ticked = false;
   double probeTokens = 0, probeBurst = 0, probesPerRequest = kProbesPerRequest;
-  double vanished = 0;   // share of attempts that no answer came to, though their member was well
-  Rate asked, inTime;    // as in each group
+  double vanished = 0;  // share of attempts that no answer came to, though their member was well
+
   Rate arriving, usual;  // work asked of this router of late, and over a longer time
   std::uint64_t seed = 0;
 
@@ -513,18 +513,17 @@
   }
 
   // Overload: where few of the attempts are answered in time, sending more makes fewer so, since members
-  // work on what nobody awaits any more. As many are refused at once as keep the rest in time. One router
-  // sees little of a group, so what it sees of all groups counts as a few attempts there.
+  // work on what nobody awaits any more. As many are refused at once as keep the rest in time. One of many
+  // routers sees little of a group: without evidence from there it refuses nobody.
   bool shed(const Group& g, const Open& o) const {
-    double everywhere = (inTime.total(now) + kFewAttempts) / (asked.total(now) + kFewAttempts);
-    double share = (g.inTime.total(now) + kFewAttempts * everywhere) / (g.asked.total(now) + kFewAttempts);
+    double share = (g.inTime.total(now) + kFewAttempts) / (g.asked.total(now) + kFewAttempts);
     return o.attempts.empty() && coin(o.r.id, ~0u) > kShedAt * share;
   }
 
   void ended(Group& g, bool good) {
-    for (auto* r : {&g.asked, &asked, &g.inTime, &inTime}) {
+    for (auto* r : {&g.asked, &g.inTime}) {
       r->span = smallestAim * kShedTime;
-      r->add(now, r == &g.asked || r == &asked || good ? 1 : 0);
+      r->add(now, r == &g.asked || good ? 1 : 0);
     }
   }
 
@@ -581,9 +580,8 @@
     if (!ranked.empty()) return cheapest(ranked);
     // Exception to postponing: no replica is left, or the read waited long and the primary has spare room.
     if (!lead || !room(g, *lead, o)) return nullptr;
-    // Where limits are too small to speak of half of one, the primary takes its part of the reads as a
-    // member.
-    if (lead->limit * kRescueRoom < 1 && coin(o.r.id, ~lead->id) * static_cast<double>(g.members.size()) > 1)
+    // Where limits are too small to speak of half of one, it takes twice a member's part of the reads.
+    if (lead->limit * kRescueRoom < 1 && coin(o.r.id, ~lead->id) * static_cast<double>(g.members.size()) > 2)
       return nullptr;
     if (!replicas) return lead;
     // A bounded read stays postponed while every replica truly lags, until the last moment at which the
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -79,6 +79,16 @@
   EXPECT_GT(fleet.served - served, (fleet.asked - asked) * 6 / 10);
 }
 
+// One set in trouble made every router refuse part of what came for all the others, of which it sees little.
+TEST_F(AFleet, TroubleInSomeGroupsHasNothingRefusedInTheOthers) {
+  for (auto& [id, m] : fleet.members) m.work = m.group % 3 == 0 ? 400ms : 8ms;  // over the aim of 150 ms
+  fleet.load(4s, kPerSecond, 0.2);
+  int refused = fleet.refusedOf(1), asked = fleet.asked;
+  fleet.only = 1;  // groups 1, 4, 7, ...
+  fleet.load(1s, kPerSecond / 3, 0.2);
+  EXPECT_LT(fleet.refusedOf(1) - refused, (fleet.asked - asked) / 50);
+}
+
 // One time to come back for all that were refused at once would bring all of them back at once.
 TEST(Refusals, ComeBackTimesAreSpread) {
   auto s = fleetSettings();
