--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -25,7 +25,7 @@
 enum class ListRole { Off, Start, Late };        // what the member list says about roles
 enum class ReportMode { Off, Inline, OnProbe };  // where load reports come from
 enum class Role { Unknown, Primary, Replica };
-enum class Condition { Gone, Ready, Draining };
+enum class Condition { Gone, Ready, Draining, Cordoned };  // Cordoned: taken out by hand
 enum class ListKind { Delta, Full, Cached, Failed };
 enum class Status { Success, Failure, Overloaded, TimedOut, Unreachable, Broken, Withdrawn, Void, Absent };
 
@@ -62,6 +62,7 @@
   bool carriedMarks = false;  // a session read says how old its last write is
   bool reportPosition = false;
   bool reportRole = false;
+  bool reportHeld = false;  // how many requests a member holds
   ReportMode reports = ReportMode::Off;
   ListRole listRole = ListRole::Off;
   // limits
@@ -81,6 +82,7 @@
   std::optional<Micros> position;  // absolute, on the caller's clock
   std::optional<bool> primary;
   std::optional<double> busy;
+  std::optional<double> held;  // requests that it holds
 };
 
 // events
@@ -138,8 +140,18 @@
 struct ClientGone {
   RequestId id = 0;
 };
+struct Known {  // what a router has learned of a member, for another process that takes its place
+  MemberId member = 0;
+  Role role = Role::Unknown;
+  Micros roleAsOf{0}, position{0}, heardAt{0};  // on a clock that both have; far in the past: unknown
+  double limit = 0;                             // attempts in flight
+  std::vector<double> latency;                  // by class, smoothed, microseconds; 0: none
+};
+struct Beside {
+  int others = 0;  // processes that are this same router as well, for a while
+};
 using Event = std::variant<MemberList, Request, Outcome, ProbeResult, StreamStarted, TimerFired, PeerMessage,
-                           ClientGone>;
+                           ClientGone, Known, Beside>;
 
 // actions
 struct Send {
@@ -182,7 +194,11 @@
   // `now` never falls from one call to the next. Every action takes effect at `now`, in order.
   std::vector<Action> handle(Micros now, const std::vector<Event>& events);
 
-  std::size_t members() const;  // how many it keeps in mind, those that have gone just now included
+  std::vector<Known> known() const;  // of the members that were heard of
+  std::size_t members() const;       // how many it keeps in mind, those that have gone just now included
+  // Whether it sends this member nothing at present: told to, or since it was silent or has failed. One that
+  // lags or is cold still gets what it can serve.
+  bool avoids(MemberId member, Micros now) const;
 
  private:
   struct State;
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -1,6 +1,7 @@
 #include "app/commands.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
@@ -13,6 +14,7 @@
 
 #include "app/config.h"
 #include "app/logger.h"
+#include "app/operations.h"
 #include "app/operator_file.h"
 #include "net/socket.h"
 #include "proxy/proxy.h"
@@ -71,13 +73,21 @@
   options.descriptors = descriptor_limit(config.sockets);
   options.memory = config.memory;
   options.pool = config.pool;
+  options.pool.stream_memory = config.memory / 8;
   options.known = config.known;
+  // The platform kills a process so long after it told it to stop: the longest deadline, counted as 3 s where
+  // it is longer, and 0.7 s.
+  net::Micros longest{0};
+  for (auto& c : config.settings.classes) longest = std::max(longest, c.deadline);
+  options.kill_after =
+      std::min<net::Micros>(longest, std::chrono::seconds(3)) + std::chrono::milliseconds(700);
   options.pace = discovery::Pace(config.settings.routers, config.settings.askDiscovery, config.seed);
   return options;
 }
 
 // Where the program reads what it is told, and what of that is in force.
 struct Told {
+  Started started;
   std::string config_path, operator_path;  // operator_path: empty where none was given
   Config config;
   OperatorFile own;
@@ -116,9 +126,19 @@
   auto& own = told.own.workers;
   workers::GroupConfig config{told.config.settings, told.config.seed, options_of(told.config), own};
   net::Loop control;
+  Operations operations(control, told.config, told.started, log);
+  operations.prepare(&config.proxy);
+  if (told.started.listen_fd >= 0 && config.options.accept == workers::Accept::kReusePort) {
+    log(net::Level::kWarning, "the listening socket is inherited: clients are dealt out by one thread");
+    config.options.accept = workers::Accept::kDeal;
+  }
   workers::Group group(control, config, [&](const std::string& tag) { return logger.sink(tag); });
   Signals signals(
-      control, [&] { group.shut_down(); },
+      control,
+      [&] {
+        operations.leaving();
+        group.shut_down(operations.relieved());
+      },
       [&] {
         reload(told, logger, log, [&](auto& options, auto& file) {
           group.reconfigure(options, file.workers.connections_per_server);
@@ -129,11 +149,25 @@
       fmt::format("{} workers, decisions {}, clients {}", own.count,
                   own.decisions == workers::Decisions::kShared ? "shared" : "split",
                   own.accept == workers::Accept::kDeal ? "dealt out" : "dealt out by the kernel"));
+  operations.open({{[&](auto update, auto applied) { group.tell(std::move(update), std::move(applied)); },
+                    [&](auto done) { group.figures(std::move(done)); },
+                    [&] { return group.unable(); },
+                    {}},
+                   [&] { return group.descriptors_held(); },
+                   [&](int others, std::size_t held) { group.beside(others, held); },
+                   [&](auto done) { group.learned(std::move(done)); },
+                   [&](auto& learned) { group.learn(learned); }});
+  group.on_ready = [&] { operations.serving(); };
   group.run();
   return 0;
 }
 
+// Bytes from which on a buffer is taken from the kernel and given back to it by itself. Without a fixed
+// figure the C library raises it to what was once freed, and the buffers of one crowd leave holes for good.
+constexpr int kOwnPages = 32 * 1024;
+
 int serve(const Told& told) {
+  mallopt(M_MMAP_THRESHOLD, kOwnPages);
   auto handled = handled_signals();
   sigprocmask(SIG_BLOCK, &handled, nullptr);
   signal(SIGPIPE, SIG_IGN);
@@ -151,11 +185,26 @@
                          [&](const std::string& text) { log(net::Level::kInfo, "decisions: " + text); });
   auto options = options_of(config);
   routing::LocalDecider decider(facade);
+  Operations operations(loop, config, told.started, log);
+  operations.prepare(&options);
   proxy::Proxy proxy(loop, decider, options, log);
+  proxy.on_ready = [&] { operations.serving(); };
   Signals signals(
-      loop, [&] { proxy.shut_down(); },
+      loop,
+      [&] {
+        operations.leaving();
+        proxy.shut_down(operations.relieved());
+      },
       [&] { reload(told, logger, log, [&](auto& read, auto&) { proxy.reconfigure(read); }); });
   log(net::Level::kInfo, listens(config, proxy.port(), options.descriptors));
+  operations.open({{[&](auto update, auto applied) { proxy.tell(std::move(update), std::move(applied)); },
+                    [&](auto done) { done(proxy.figures()); },
+                    [&] { return proxy.unable(); },
+                    {}},
+                   [&] { return proxy.descriptors_held(); },
+                   [&](int others, std::size_t held) { proxy.beside(others, held); },
+                   [&](auto done) { done(proxy.dispatcher().learned()); },
+                   [&](auto& learned) { proxy.dispatcher().learn(learned); }});
   proxy.run();
   return 0;
 }
@@ -203,6 +252,7 @@
   else if (command == "serve" || told.operator_path.empty())
     throw std::runtime_error("no configuration: give --config FILE or set NODE_CONFIG");
   if (command == "serve") {
+    told.started = Started::from_environment();
     told.read();
     return serve(told);
   }
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -18,6 +18,7 @@
 
 struct Config {
   std::string name = "linenwinch", listen, discovery;
+  std::string operators;  // the address of the operators' door; empty: there is none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory = 64 << 20;  // descriptors; bytes
   discovery::MemberUpdate known;
--- a/src/app/logger.cpp
+++ b/src/app/logger.cpp
@@ -119,9 +119,17 @@
 
 Logger::~Logger() { thread_.reset(); }
 
+std::shared_ptr<spdlog::async_logger> Logger::made(const std::string& tag,
+                                                   std::shared_ptr<spdlog::sinks::sink> to, bool wait) {
+  using Overflow = spdlog::async_overflow_policy;
+  auto logger = std::make_shared<spdlog::async_logger>(tag, std::move(to), thread_,
+                                                       wait ? Overflow::block : Overflow::overrun_oldest);
+  std::lock_guard lock(mutex_);
+  return made_.emplace_back(std::move(logger));
+}
+
 net::Log Logger::sink(const std::string& tag) {
-  auto logger = std::make_shared<spdlog::async_logger>(tag, lines_, thread_,
-                                                       spdlog::async_overflow_policy::overrun_oldest);
+  auto logger = made(tag, lines_, false);
   return [logger](net::Level level, const std::string& line) { logger->log(level_of(level), line); };
 }
 
@@ -143,9 +151,7 @@
     bool done_ = false;
   };
   auto marker = std::make_shared<Reached>();
-  auto logger =
-      std::make_shared<spdlog::async_logger>("flush", marker, thread_, spdlog::async_overflow_policy::block);
-  logger->log(spdlog::level::err, "");
+  made("flush", marker, true)->log(spdlog::level::err, "");
   marker->reached.get_future().wait_for(std::chrono::seconds(1));
 }
 
--- a/src/app/logger.h
+++ b/src/app/logger.h
@@ -3,13 +3,21 @@
 #pragma once
 
 #include <memory>
+#include <mutex>
 #include <string>
+#include <vector>
 
 #include "net/log.h"
 
-namespace spdlog::details {
+namespace spdlog {
+class async_logger;
+namespace details {
 class thread_pool;
 }
+namespace sinks {
+class sink;
+}
+}  // namespace spdlog
 
 namespace linenwinch::app {
 
@@ -32,8 +40,14 @@
 
  private:
   class Lines;
+  std::shared_ptr<spdlog::async_logger> made(const std::string& tag, std::shared_ptr<spdlog::sinks::sink> to,
+                                             bool wait);
   std::shared_ptr<spdlog::details::thread_pool> thread_;
   std::shared_ptr<Lines> lines_;
+  std::mutex mutex_;  // of what was made
+  // Each lives until the thread has ended: a line in the queue may be the last else to hold one, which would
+  // then go away on that thread.
+  std::vector<std::shared_ptr<spdlog::async_logger>> made_;
   net::Log sink_;
 };
 
--- a/src/discovery/members.h
+++ b/src/discovery/members.h
@@ -17,6 +17,7 @@
   Lifecycle lifecycle = Lifecycle::kUp;
   double weight = 1;
   std::int64_t started_at_ms = 0;  // Unix milliseconds; 0: long ago
+  bool cordoned = false;           // by the operators (membership/cordons.h); discovery never says so
 };
 
 struct MemberUpdate {
--- a/src/lab/daemon.cpp
+++ b/src/lab/daemon.cpp
@@ -64,15 +64,17 @@
 Daemon::Daemon(const DaemonOptions& options) : options_(options) {
   auto settings = lab_settings();
   if (!options.settings.is_null()) settings.merge_patch(options.settings);
+  auto port = options.listen_fd >= 0 ? net::local_port(options.listen_fd) : free_port();
   json config = {{"name", "lab"},
-                 {"listen", fmt::format("127.0.0.1:{}", free_port())},
+                 {"listen", fmt::format("127.0.0.1:{}", port)},
                  {"discovery", options.discovery},
                  {"seed", fmt::format("{:x}", options.seed)},
-                 {"limits", {{"sockets", options.sockets}, {"memory_mb", 2048}}},
+                 {"limits", {{"sockets", options.sockets}, {"memory_mb", options.memory_mb}}},
                  {"known", options.known},
                  {"settings", settings}};
   fs::path folder(options.folder);
-  auto config_path = (folder / "config.json").string(), log_path = (folder / "log").string(),
+  auto config_path = (folder / (options.name + ".json")).string(),
+       log_path = (folder / (options.name + ".log")).string(),
        operator_path = (folder / "operator.json").string();
   write_file(config_path, config.dump(1));
   if (!options.operator_file.is_null()) write_operator_file(options.operator_file);
@@ -87,8 +89,15 @@
       sched_setaffinity(0, sizeof set, &set);
     }
     int out = open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-    dup2(out, 1);
+    if (!options.operators.empty()) setenv("NODE_OPERATOR", options.operators.c_str(), 1);
+    if (!options.shared_folder.empty()) setenv("TMPDIR", options.shared_folder.c_str(), 1);
+    dup2(out, 1);  // before descriptor 7, which may be the log's
     dup2(out, 2);
+    if (options.listen_fd >= 0) {
+      dup2(options.listen_fd, 7);
+      fcntl(7, F_SETFD, 0);  // it may be 7 already, and would be closed
+      setenv("NODE_ACCEPT_FD", "7", 1);
+    }
     std::vector<const char*> arguments{options.program.c_str(), "serve", "--config", config_path.c_str()};
     if (!options.operator_file.is_null()) {
       arguments.push_back("--operator");
@@ -98,6 +107,7 @@
     execv(options.program.c_str(), const_cast<char**>(arguments.data()));
     _exit(127);
   }
+  if (!options.await) return;
   for (auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);;
        std::this_thread::sleep_for(std::chrono::milliseconds(5))) {
     auto text = log();
@@ -108,7 +118,11 @@
     int status = 0;
     bool ended = waitpid(pid_, &status, WNOHANG) == pid_;
     if (!ended && std::chrono::steady_clock::now() < end) continue;
-    if (ended) pid_ = -1;
+    if (!ended) {  // no destructor will run
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    pid_ = -1;
     throw std::runtime_error(fmt::format("{} did not get ready: {}", options.program,
                                          text.empty() ? "it has logged nothing" : text.substr(0, 500)));
   }
@@ -137,7 +151,23 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-std::string Daemon::log() const { return whole_file(fs::path(options_.folder) / "log"); }
+std::string Daemon::log() const { return whole_file(fs::path(options_.folder) / (options_.name + ".log")); }
+
+std::string Daemon::call(const std::string& line) const {
+  auto address = *net::parse_address(options_.operators);
+  net::Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  timeval patience{5, 0};
+  setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  std::string answer;
+  if (connect(fd.get(), reinterpret_cast<sockaddr*>(&address.storage), address.length) != 0) return answer;
+  auto whole = line + "\n";
+  if (send(fd.get(), whole.data(), whole.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(whole.size()))
+    return answer;
+  char chunk[4096];
+  for (ssize_t n; (n = recv(fd.get(), chunk, sizeof chunk, 0)) > 0;)
+    answer.append(chunk, static_cast<std::size_t>(n));
+  return answer;
+}
 
 Daemon::Usage Daemon::usage() const {
   Usage usage;
--- a/src/lab/daemon.h
+++ b/src/lab/daemon.h
@@ -17,7 +17,12 @@
   nlohmann::json known;
   nlohmann::json operator_file;  // null: none is given
   std::vector<int> cpus;         // it may run on these; empty: anywhere
-  std::size_t sockets = 8192;
+  std::size_t sockets = 8192, memory_mb = 2048;
+  std::string name = "config";  // of its files: two daemons in one folder need two
+  std::string operators;        // the door's address, as NODE_OPERATOR; empty: none
+  int listen_fd = -1;           // a listening socket of ours that it inherits, as descriptor 7
+  std::string shared_folder;    // its TMPDIR; empty: ours
+  bool await = true;            // until it can serve
   std::uint64_t seed = 1;
   nlohmann::json settings = {};  // merged over those of the lab's deployment
 };
@@ -27,7 +32,8 @@
 
 class Daemon {
  public:
-  // Starts it and waits until it is ready. Throws std::runtime_error with the end of its log.
+  // Starts it and, unless told otherwise, waits until it is ready. Throws std::runtime_error with the end of
+  // its log.
   explicit Daemon(const DaemonOptions& options);
   ~Daemon();  // kills it where it still runs
   Daemon(const Daemon&) = delete;
@@ -38,6 +44,8 @@
   void signal(int number);
   int wait();  // for its end; its exit code, or 128 and the signal
   std::string log() const;
+  // One call at its door: the whole answer; empty where none came.
+  std::string call(const std::string& line) const;
   void write_operator_file(const nlohmann::json& content);
 
   struct Usage {
--- a/src/net/buffer.cpp
+++ b/src/net/buffer.cpp
@@ -78,7 +78,10 @@
       iov[first].iov_len -= left;
     }
   }
+  std::size_t left = 0;
+  for (auto i = first; i < count; ++i) left += iov[i].iov_len;
   std::string rest;
+  rest.reserve(left);  // grown piece by piece it would hold up to twice that
   for (; first < count; ++first) rest.append(static_cast<char*>(iov[first].iov_base), iov[first].iov_len);
   bytes_ = std::move(rest);
   return true;
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -34,6 +34,7 @@
  public:
   bool empty() const { return bytes_.empty(); }
   std::size_t size() const { return bytes_.size(); }
+  std::size_t memory() const { return bytes_.capacity(); }
   // Writes what is queued and then the parts with one writev, and keeps a copy of what the socket did not
   // take. False: the connection is broken.
   bool write(int fd, std::initializer_list<std::string_view> parts);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,6 +1,7 @@
 #include "net/socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -73,6 +74,45 @@
   return fd;
 }
 
+Fd inherit_listener(int fd, const Address& address, std::string* error) {
+  auto option = [&](int name) {
+    int value = -1;
+    socklen_t length = sizeof value;
+    return getsockopt(fd, SOL_SOCKET, name, &value, &length) == 0 ? value : -1;
+  };
+  sockaddr_storage own{};
+  socklen_t length = sizeof own;
+  auto same = [&] {
+    if (getsockname(fd, reinterpret_cast<sockaddr*>(&own), &length) != 0) return false;
+    auto& wanted = address.storage;
+    if (own.ss_family != wanted.ss_family) return false;
+    if (own.ss_family == AF_INET) {
+      auto *a = reinterpret_cast<const sockaddr_in*>(&own),
+           *b = reinterpret_cast<const sockaddr_in*>(&wanted);
+      return (b->sin_port == 0 || a->sin_port == b->sin_port) &&
+             (a->sin_addr.s_addr == b->sin_addr.s_addr || a->sin_addr.s_addr == htonl(INADDR_ANY));
+    }
+    auto *a = reinterpret_cast<const sockaddr_in6*>(&own),
+         *b = reinterpret_cast<const sockaddr_in6*>(&wanted);
+    return (b->sin6_port == 0 || a->sin6_port == b->sin6_port) &&
+           (std::memcmp(&a->sin6_addr, &b->sin6_addr, sizeof a->sin6_addr) == 0 ||
+            std::memcmp(&a->sin6_addr, &in6addr_any, sizeof a->sin6_addr) == 0);
+  };
+  int flags = fcntl(fd, F_GETFL);
+  if (flags < 0)
+    *error = "the inherited descriptor " + std::to_string(fd) + " is not open";
+  else if (option(SO_TYPE) != SOCK_STREAM || option(SO_ACCEPTCONN) != 1)
+    *error = "the inherited descriptor " + std::to_string(fd) + " is no listening TCP socket";
+  else if (!same())
+    *error = "the inherited descriptor " + std::to_string(fd) + " listens on another address";
+  else if ((!(flags & O_NONBLOCK) && fcntl(fd, F_SETFL, flags | O_NONBLOCK) != 0) ||
+           fcntl(fd, F_SETFD, FD_CLOEXEC) != 0)
+    *error = std::strerror(errno);
+  else
+    return Fd(fd);
+  return Fd();
+}
+
 Fd start_connect(const Address& address, int* error) {
   *error = 0;
   Fd fd(socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -26,6 +26,9 @@
 
 // `shared`: several sockets of this process listen there, and the kernel deals clients out (SO_REUSEPORT).
 Fd listen_on(const Address& address, std::string* error, bool shared = false);
+// A listening socket that this process was started with and shares with others. It must be one, and listen on
+// `address`. Non-blocking from now on, for all that have it: an accept() that finds nothing must not wait.
+Fd inherit_listener(int fd, const Address& address, std::string* error);
 Fd start_connect(const Address& address, int* error);  // an Fd even while EINPROGRESS
 Fd accept_from(int listener, int* error);              // error is EAGAIN when nothing waits
 int socket_error(int fd);                              // SO_ERROR, 0 when fine
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -116,6 +116,14 @@
   return body.substr(6);
 }
 
+Parse parse_row_head(std::string_view in, RowHead* head) {
+  if (in.size() < kRowHead) return Parse::kMore;
+  std::size_t length = read32(in, 1), value = read32(in, 7);
+  if (in[0] != 'D' || in[5] != 0 || in[6] != 1 || length != 10 + value) return Parse::kBad;
+  *head = {1 + length, value};
+  return Parse::kOk;
+}
+
 std::string query_head(std::size_t text_size) {
   std::string out(1, 'Q');
   put32(out, text_size + 5);
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -45,6 +45,14 @@
 // The single column of a DataRow; nullopt when there is another number of columns, NULL, or a false length.
 std::optional<std::string_view> parse_single_column(std::string_view body);
 
+// The head of a DataRow of one column, whose value may still be on its way. kBad: it is none, its lengths do
+// not fit, or there is no value.
+struct RowHead {
+  std::size_t size = 0, value = 0;  // of the whole message; of the value
+};
+constexpr std::size_t kRowHead = 11;
+Parse parse_row_head(std::string_view in, RowHead* head);
+
 // Writers.
 std::string query_head(std::size_t text_size);  // the letter and length of a Query whose text follows
 std::string startup_message(std::string_view user, std::string_view database);
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -79,7 +79,10 @@
   loop_.remove(fd_.get(), this);
   fd_.reset();
   for (auto& slot : queue_)
-    if (slot->request != 0) dispatcher_.leave(std::exchange(slot->request, 0));
+    if (auto* source = std::exchange(slot->source, nullptr))
+      source->abandon();
+    else if (slot->request != 0)
+      dispatcher_.leave(std::exchange(slot->request, 0));
   owner_.session_closed(this);
 }
 
@@ -88,6 +91,9 @@
     auto before = out_.size();
     if (!out_.flush(fd_.get())) return close();
     if (out_.size() != before) stuck_by_.reset();  // it reads: its time begins anew
+    account();
+    pull();
+    if (!fd_) return;
   }
   if (draining_) return drain();
   // Reading stopped at the cap, so the end of the stream is not seen by reading.
@@ -111,6 +117,7 @@
   auto before = in_.view().size();
   auto end = in_.fill(fd_.get(), kReadCap, bytes_left_, drained_by_short);
   bytes_left_ -= std::min(bytes_left_, in_.view().size() - before);
+  if (in_.view().size() > before) last_byte_ = loop_.now();
   paused_ = end == net::IoEnd::kFull;
   if (end == net::IoEnd::kClosed) return close();
   auto before_it = counted_;
@@ -118,12 +125,18 @@
 }
 
 bool ClientSession::account() {
-  auto held = answers_ + (in_.memory() > pg::kLongestShort ? in_.memory() : 0);
+  auto held =
+      answers_ + out_.memory() + gathered_.capacity() + (in_.memory() > pg::kLongestShort ? in_.memory() : 0);
   auto change = static_cast<std::ptrdiff_t>(held) - static_cast<std::ptrdiff_t>(counted_);
   counted_ = held;
   return owner_.buffered(change);
 }
 
+std::optional<Micros> ClientSession::unread_since() const {
+  if (!stuck_by_ || out_.empty() || (!queue_.empty() && queue_.front()->source)) return std::nullopt;
+  return *stuck_by_ - kWritePatience;
+}
+
 // The time by which something must have come. A request that is out has its own.
 void ClientSession::arm() {
   if (!fd_ || draining_) return;
@@ -357,12 +370,17 @@
   request.expires = blocked_since_.value_or(loop_.now()) +
                     std::max(wait - std::clamp(wait / kMarginPart, kLeastMargin, kMostMargin), wait / 2);
   request.retry = statement.retry;
-  if (queue_.size() >= kPipelined || (!queue_.empty() && !account()) || request.expires <= loop_.now())
+  if (queue_.size() >= kPipelined || (!queue_.empty() && !account()) || request.expires <= loop_.now()) {
+    dispatcher_.answered_at_the_door(cls->index, true);
     return answer(pg::error_response("ERROR", "53300", "too many commands wait on this connection"));
+  }
   auto slot = std::make_unique<Slot>(*this);
   // The other one, perhaps of another client, goes on as if this had not come.
   slot->request = dispatcher_.submit(slot.get(), request, statement.id);
-  if (slot->request == 0) return reject("42710", "a request with this id is open");
+  if (slot->request == 0) {
+    dispatcher_.answered_at_the_door(cls->index, false);
+    return reject("42710", "a request with this id is open");
+  }
   slot->start = consumed_ + parsed_;
   slot->size = slot->message = message_;
   slot->wait_at = statement.wait_at;
@@ -390,6 +408,9 @@
     return;
   }
   if (gathered_.empty()) owner_.flush_later(this);
+  std::size_t more_bytes = gathered_.size();
+  for (auto part : parts) more_bytes += part.size();
+  if (more_bytes > kWriteCap) gathered_.reserve(more_bytes);  // no more than that: it is written at once
   for (auto part : parts) gathered_.append(part);
   if (!more || gathered_.size() >= kWriteCap) flush();
 }
@@ -398,6 +419,7 @@
   if (!fd_ || gathered_.empty()) return;
   auto gathered = std::exchange(gathered_, {});
   if (!out_.write(fd_.get(), {gathered})) return close();
+  account();
   if (!processing_) arm();
 }
 
@@ -441,9 +463,11 @@
 
 void ClientSession::serve(Slot& slot, const Answer& a) {
   if (&slot != queue_.front().get()) {
+    auto ready = pg::ready_for_query();
     std::string whole;
+    whole.reserve(a.frames[0].size() + a.frames[1].size() + a.frames[2].size() + ready.size());
     for (auto frame : a.frames) whole.append(frame);
-    return finish(slot, whole + pg::ready_for_query());
+    return finish(slot, whole.append(ready));
   }
   write({a.frames[0], a.frames[1], a.frames[2], pg::ready_for_query()}, queue_.size() > 1);
   finish(slot, "");
@@ -460,6 +484,29 @@
   session.finish(*this, pg::error_response("ERROR", "57014", why) + pg::ready_for_query());
 }
 
+// The request has its answer from here on, though most of it is still to come.
+void ClientSession::stream(Slot& slot, StreamSource& source) {
+  slot.request = 0;
+  slot.source = &source;
+}
+
+std::size_t ClientSession::room(const Slot& slot, std::size_t window) const {
+  if (!fd_ || queue_.empty() || queue_.front().get() != &slot) return 0;
+  return window - std::min(window, unsent());
+}
+
+void ClientSession::pull() {
+  if (!queue_.empty() && queue_.front()->source) queue_.front()->source->more();
+}
+
+void ClientSession::stream_ended(Slot& slot, bool whole) {
+  slot.source = nullptr;
+  if (!fd_) return;
+  // In the middle of a message only the end of the connection can tell that there will be no more of it.
+  if (!whole) return close();
+  finish(slot, pg::ready_for_query());
+}
+
 void ClientSession::finish(Slot& slot, std::string answer) {
   slot.request = 0;
   if (!fd_) return;  // writing found it broken
@@ -482,6 +529,7 @@
     if (!slot->answer.empty()) write({slot->answer}, !queue_.empty());
     if (fd_ && slot->last) half_close();
   }
+  pull();
   if (fd_) account();
 }
 
@@ -489,7 +537,7 @@
 // more is not touched.
 void ClientSession::cancel() {
   if (queue_.empty() || queue_.front()->request == 0) return;
-  dispatcher_.leave(queue_.front()->request);
+  dispatcher_.cancel(queue_.front()->request);
   queue_.front()->fail("canceled on the client's request");
 }
 
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -1,6 +1,7 @@
 // One client connection that speaks PostgreSQL's protocol.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -21,7 +22,8 @@
   virtual ~SessionOwner() = default;
   virtual void session_closed(ClientSession* session) = 0;  // its descriptor is free already
   virtual void cancel_requested(std::uint32_t number, std::uint32_t secret) = 0;
-  // Told of each change of what a session's unfinished input holds; false: that is too much in all.
+  // Told of each change of what a session holds in memory, unfinished input and unread answers; false: that
+  // is too much in all.
   virtual bool buffered(std::ptrdiff_t change) = 0;
   // Asks for flush() at the end of this turn, once a turn.
   virtual void flush_later(ClientSession* session) = 0;
@@ -47,7 +49,14 @@
   std::uint32_t secret() const { return secret_; }
   void cancel();
   Micros idle_since() const { return idle_since_; }
+  Micros quiet_since() const { return std::max(idle_since_, last_byte_); }
+  // It is writing a command, slowly: something of it has come since `since`.
+  bool writing(Micros since) const {
+    return queue_.empty() && !in_.view().empty() && last_byte_ >= since && !draining_;
+  }
   void close();
+  // Since when it takes nothing of its answers, where more is to be had than a bounded window.
+  std::optional<Micros> unread_since() const;
   void close_when_idle() { closing_ = true; }  // after what it still has to answer
   bool read_once();                            // looks for what has come unseen; false: closed by that
 
@@ -58,11 +67,19 @@
     explicit Slot(ClientSession& owner) : session(owner) {}
     Query query(Micros wait) override { return session.query(*this, wait); }
     void serve(const Answer& answer) override { session.serve(*this, answer); }
+    void stream(StreamSource& from) override { session.stream(*this, from); }
+    std::size_t room(std::size_t window) const override { return session.room(*this, window); }
+    void piece(std::string_view bytes) override {
+      session.write({bytes});
+      if (!session.processing_) session.arm();
+    }
+    void stream_ended(bool whole) override { session.stream_ended(*this, whole); }
     void refuse(Micros retry_after) override;
     void fail(std::string_view why) override;
 
     ClientSession& session;
     RequestId request = 0;              // while it is out
+    StreamSource* source = nullptr;     // of a long answer that is on its way
     std::uint64_t start = 0;            // where its message stands in the stream of all that was read
     std::size_t size = 0, message = 0;  // bytes to consume with it; those of the message itself
     std::size_t wait_at = 0, wait_end = 0;
@@ -85,6 +102,10 @@
   Query query(const Slot& slot, Micros wait) const;
   void serve(Slot& slot, const Answer& answer);
   void finish(Slot& slot, std::string answer);
+  void stream(Slot& slot, StreamSource& source);
+  std::size_t room(const Slot& slot, std::size_t window) const;
+  void stream_ended(Slot& slot, bool whole);
+  void pull();  // asks for more of a long answer whose turn it is
   void flush_answers();
   void reply(std::string message);        // in its turn
   void answer(std::string_view message);  // and ReadyForQuery
@@ -125,7 +146,7 @@
   bool ended_ = false;                       // nothing more is taken; the queue's last slot ends it
   bool blocked_ = false;                     // the next command waits for one before it
   std::optional<Micros> blocked_since_;
-  Micros idle_since_{0};
+  Micros idle_since_{0}, last_byte_{0};
 };
 
 }  // namespace linenwinch::proxy
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -13,6 +13,9 @@
 // The module ends each request by itself before it expires. Should that ever fail, the client still gets its
 // one answer: this long after, which is before it gives up.
 constexpr Micros kGuard = 5ms;
+// By then another thread has decided, mostly within 0.2 ms, and a process that ends is still there to tell
+// it.
+constexpr Micros kDecided = 50ms;
 // A client turned away since the way to the decisions is full: by then what filled it has been decided or has
 // ended.
 constexpr Micros kComeBackFull = 200ms;
@@ -52,18 +55,23 @@
 
 RequestId Dispatcher::submit(ClientPort* client, routing::Request request, std::string_view name) {
   if (others_ ? !others_->take_name(name) : names_.count(name) > 0) return 0;
+  auto patience = request.expires;
+  request.expires = std::min(patience, answer_by_);
   request.id = std::exchange(next_, next_ + step_);
   ++counters_.taken;
-  auto guard = loop_.at(request.expires + kGuard, [this, id = request.id] { overdue(id); });
-  auto& open = open_[request.id] = {client, guard, std::string(name)};
+  // Near the end of the process its time may be over before it has been decided.
+  auto by = std::min(patience, std::max(request.expires, loop_.now() + kDecided));
+  auto guard = loop_.at(by + kGuard, [this, id = request.id] { overdue(id); });
+  auto& open = open_[request.id] = {client, guard, request.cls, std::string(name)};
   if (!others_) names_.insert(open.name);  // nodes of the map stay where they are
   new_.push_back(request);
   return request.id;
 }
 
-ClientPort* Dispatcher::close(RequestId request) {
+ClientPort* Dispatcher::close(RequestId request, std::uint64_t ClassCounts::*counted) {
   auto it = open_.find(request);
   if (it == open_.end()) return nullptr;
+  if (counted) ++(counts(it->second.cls).*counted);
   auto* client = it->second.client;
   loop_.cancel(&it->second.guard);
   if (others_)
@@ -75,7 +83,14 @@
 }
 
 void Dispatcher::leave(RequestId request) {
-  if (!close(request)) return;
+  if (close(request)) withdraw(request);
+}
+
+void Dispatcher::cancel(RequestId request) {
+  if (close(request, &ClassCounts::faulted)) withdraw(request);
+}
+
+void Dispatcher::withdraw(RequestId request) {
   ++counters_.gone;
   if (std::erase_if(new_, [&](auto& r) { return r.id == request; }) > 0) return;
   left_.push_back(request);
@@ -84,7 +99,7 @@
 
 void Dispatcher::overdue(RequestId request) {
   log_(net::Level::kError, fmt::format("request {} was still undecided when its time ended", request));
-  auto* client = close(request);
+  auto* client = close(request, &ClassCounts::faulted);
   if (!client) return;
   ++counters_.failed;
   left_.push_back(request);
@@ -103,9 +118,29 @@
   return it == open_.end() ? nullptr : it->second.client;
 }
 
+void Dispatcher::stream_ended(RequestId request, std::optional<bool> whole) {
+  auto it = streams_.find(request);
+  if (it == streams_.end()) return;
+  if (whole) {
+    ++(*whole ? counters_.served : counters_.failed);
+    ++(*whole ? counts(it->second).fulfilled : counts(it->second).faulted);
+  } else {
+    ++counters_.gone;
+  }
+  streams_.erase(it);
+}
+
 void Dispatcher::settle(AttemptEnd& end) {
+  if (end.stream) {
+    // From the first byte on the client has its answer: nothing else may be sent for it.
+    auto it = open_.find(end.result.request);
+    auto cls = it == open_.end() ? 0 : it->second.cls;
+    auto* client = close(end.result.request);
+    if (client) streams_.emplace(end.result.request, cls);
+    pool_.stream_to(end.connection, client);
+  }
   if (end.answer) {
-    if (auto* client = close(end.result.request)) {
+    if (auto* client = close(end.result.request, &ClassCounts::fulfilled)) {
       ++counters_.served;
       client->serve(*end.answer);
     }
@@ -118,7 +153,7 @@
 
 // The way to the decisions is full, so none can be made in time: nothing of it has run.
 void Dispatcher::turn_away(RequestId request) {
-  auto* client = close(request);
+  auto* client = close(request, &ClassCounts::throttled);
   ++counters_.refused;
   client->refuse(kComeBackFull);
 }
@@ -130,13 +165,13 @@
     case What::kSend:
       return send(d);
     case What::kRefuse:
-      if (auto* client = close(d.request)) {
+      if (auto* client = close(d.request, &ClassCounts::throttled)) {
         ++counters_.refused;
         client->refuse(d.retry_after);
       }
       return;
     case What::kFail:
-      if (auto* client = close(d.request)) {
+      if (auto* client = close(d.request, &ClassCounts::faulted)) {
         ++counters_.failed;
         client->fail("no data server could serve this request");
       }
@@ -173,6 +208,7 @@
       pool_.update(update);
       decider_.update(now, update, cached);
     }
+    decider_.learn(std::exchange(learned_, {}));
     for (auto& end : std::exchange(ends_, {})) settle(end);
     for (auto& probe : std::exchange(probes_, {})) decider_.report(now, std::move(probe));
     for (auto request : std::exchange(left_, {})) decider_.gone(now, request);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "discovery/keeper.h"
+#include "operator/call.h"
 #include "proxy/client_session.h"
 #include "proxy/dispatcher.h"
 
@@ -23,6 +24,15 @@
   // address that they share; otherwise they are given to it by adopt().
   std::uint32_t number = 0, count = 1;
   bool listens = true;
+  // A listening socket that other processes have too, checked already; -1: it opens its own. The platform
+  // kills the process `kill_after` after it told it to stop, where the socket is such a one.
+  int listen_fd = -1;
+  Micros kill_after{3'700'000};
+  std::size_t kept_back = 0;  // descriptors for the operators' door
+  // What all others see of a list that discovery gives.
+  std::function<discovery::MemberUpdate(discovery::MemberUpdate)> lay_over = [](auto update) {
+    return update;
+  };
 };
 
 class Proxy : public SessionOwner {
@@ -34,8 +44,10 @@
   Proxy(net::Loop& loop, routing::Decider& decider, ProxyOptions options, net::Log log, Neighbours& others);
   ~Proxy() override;
 
-  void run();                        // until it has shut down
-  void shut_down();                  // finishes what was taken; run() returns after that
+  void run();  // until it has shut down
+  // Finishes what was taken; run() returns after that. `relieved`: another process with the same listening
+  // socket serves, so new clients are its own from now on.
+  void shut_down(bool relieved = false);
   void stop_now() { loop_.stop(); }  // run() returns after this turn, whatever is open
   // Takes over what may change under load: discovery's address, descriptors, the pool's limits.
   void reconfigure(const ProxyOptions& options);
@@ -43,6 +55,14 @@
   // For one of several, all in its own thread.
   void list(discovery::MemberUpdate update, bool cached) { dispatcher_.list(std::move(update), cached); }
   void adopt(net::Fd client);
+  // Like list(); `applied` is called once nothing goes out any more that was decided before.
+  void tell(discovery::MemberUpdate update, std::function<void()> applied);
+  operation::Figures figures() const;
+  std::string unable() const;  // why it cannot serve at present; empty: it can
+  // Other processes are this same proxy for a while: how many, and what they hold of the descriptors, of
+  // which this one is left half at least. Memory and probes are shared in equal parts.
+  void beside(int others, std::size_t descriptors);
+  std::size_t descriptors_held() const { return descriptors_in_use(); }
   void give_room();  // closes something that is easy to miss
   void cancel(std::uint32_t number, std::uint32_t secret);
   Dispatcher& dispatcher() { return dispatcher_; }
@@ -66,13 +86,19 @@
     Proxy& proxy_;
   };
 
+  void start_accepting();
   void accept_all();
   void end_of_turn();
   bool make_room();
   bool has_its_part() const;
   bool close_client(bool any);
   void trim_idle();
+  void spare_memory();
   void close_idle_clients();
+  void leave_to_the_other();
+  void give_way();
+  std::size_t descriptors_allowed() const;
+  void limit_pool();
   std::size_t descriptors_in_use() const;
   std::size_t clients_in_all() const;
   void publish();
@@ -86,11 +112,15 @@
   std::optional<discovery::Keeper> discovery_;
   Listener on_listener_;
   net::Fd listener_;
-  bool accept_again_ = false, was_ready_ = false;
+  bool accepting_on_ = true, accept_again_ = false, was_ready_ = false, accepting_ = false, told_ = false;
+  Micros started_{0}, sweep_at_{0};
+  std::size_t others_hold_ = 0, processes_ = 1;
+  std::vector<std::function<void()>> after_turn_;
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
   std::vector<std::unique_ptr<ClientSession>> closed_;  // until the end of the turn in which they were
   std::vector<ClientSession*> to_flush_;
-  std::size_t buffered_ = 0;  // what clients' unfinished statements hold
+  std::size_t buffered_ = 0;  // what its buffers hold
+  Micros told_of_memory_{INT64_MIN / 2};
   std::optional<Micros> stopping_since_;
   Micros trimmed_at_{0}, published_at_{0};
   Held held_;
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -13,11 +13,27 @@
 
 using routing::Ending;
 
-constexpr std::size_t kLongestMessage = 192 * 1024;  // a value of 64 KiB takes 128 as hexadecimal digits
-constexpr std::size_t kCap = 2 * kLongestMessage;
-// An answer that has begun comes whole within a few round trips, 64 KiB too; one that pauses for so long in
-// its middle has stopped short, or a false length makes us wait for bytes that never come.
+// Answers with a value of up to 64 KiB are held until they are whole, since until then another server may be
+// asked; for longer ones the first bytes count.
+constexpr std::size_t kLongestHeld = 64 * 1024;
+constexpr std::size_t kLongestMessage = kLongestHeld + pg::kRowHead;
+constexpr std::size_t kCap = 2 * kLongestMessage;  // with all the messages around it
+// Values have 4 MiB at most, twice that as hexadecimal digits; what claims more is noise.
+constexpr std::size_t kLongestValue = 2 * 4 * 1024 * 1024 + 2;
+// So much of a long row must have come before any of it is passed on: a false length is mostly followed by
+// next to nothing, and then another server can still be asked.
+constexpr std::size_t kBeginWith = 2 * 1024;
+// An answer that is held comes whole within a few round trips; one that pauses for so long in its middle has
+// stopped short, or a false length makes us wait for bytes that never come.
 constexpr Micros kStall{100'000};
+// A long answer cannot be had elsewhere once it has begun, and peers pause for seconds.
+constexpr Micros kStreamStall{5'000'000};
+// What a long answer holds on each side: little against its length, and no less than a piece of the kernel's.
+constexpr std::size_t kLeastWindow = 4 * 1024, kMostWindow = 64 * 1024;
+// One turn's share of a long answer; the others have theirs in between.
+constexpr std::size_t kStreamPerTurn = 256 * 1024;
+// Buffers under this are kept for good, one a connection, and not counted.
+constexpr std::size_t kWorthCounting = 4 * 1024;
 constexpr std::string_view kUser = "backend", kDatabase = "store", kProbe = "SHOW usage";
 
 std::optional<std::int64_t> whole(std::string_view s) {
@@ -96,12 +112,30 @@
   }
   used_ = true;
   state_ = State::kBusy;
-  written_ = out_.empty();
+  if (out_.empty()) all_written();
   job_timer_ = loop.at(job_->deadline, [this] { finish(ending_of_timeout(written_), false); });
   return true;
 }
 
+void ServerConnection::all_written() {
+  if (!std::exchange(written_, true) && !job_->probe) ++pool_.written_;
+}
+
 void ServerConnection::on_ready(std::uint32_t events) {
+  handle(events);
+  account();
+}
+
+void ServerConnection::account() {
+  auto held = fd_ ? in_.memory() + out_.memory() : 0;
+  if (held < kWorthCounting) held = 0;
+  if (held != counted_)
+    pool_.buffered(static_cast<std::ptrdiff_t>(held) -
+                   static_cast<std::ptrdiff_t>(std::exchange(counted_, held)));
+}
+
+void ServerConnection::handle(std::uint32_t events) {
+  if (state_ == State::kStreaming) return pump();
   if (state_ == State::kConnecting) {
     if (net::socket_error(fd_.get()) != 0) return broke();
     if (!(events & EPOLLOUT)) return;
@@ -110,17 +144,17 @@
   }
   if (events & EPOLLOUT) {
     if (!out_.flush(fd_.get())) return broke();
-    if (state_ == State::kBusy && out_.empty()) written_ = true;
+    if (state_ == State::kBusy && out_.empty()) all_written();
   }
   if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
   auto end = in_.fill(fd_.get(), kCap, SIZE_MAX, !net::ends(events));
-  if (end == net::IoEnd::kFull) return spoilt();
   if (end == net::IoEnd::kClosed) {
     peer_closed_ = true;
     reusable_ = false;
   }
   read_frames();
   if (!fd_ || state_ != State::kBusy) return;
+  if (end == net::IoEnd::kFull) return spoilt();
   if (parsed_ == in_.view().size() && row_description_.size == 0 && error_.empty()) return;  // not begun
   auto& loop = pool_.loop_;
   loop.cancel(&job_timer_);
@@ -130,6 +164,16 @@
 void ServerConnection::read_frames() {
   while (fd_ && state_ != State::kSettled) {
     pg::Frame message;
+    if (state_ == State::kBusy && row_description_.size > 0 && data_row_.size == 0 && error_.empty()) {
+      auto in = in_.view().substr(parsed_);
+      pg::RowHead row;
+      auto parse = in.starts_with('D') ? pg::parse_row_head(in, &row) : pg::Parse::kOk;
+      if (parse == pg::Parse::kMore) break;
+      if (parse == pg::Parse::kBad || row.value > (job_->probe ? kLongestHeld : kLongestValue))
+        return spoilt();
+      if (row.value > kLongestHeld && in.size() < kBeginWith) break;
+      if (row.value > kLongestHeld) return begin_stream(row.size);
+    }
     auto parse = pg::parse_frame(in_.view().substr(parsed_), kLongestMessage, &message);
     if (parse == pg::Parse::kMore) break;
     if (parse == pg::Parse::kOk && message.type == 'Z' && state_ == State::kGreeting && error_.empty()) {
@@ -145,6 +189,123 @@
   if (peer_closed_ && fd_ && state_ != State::kSettled) broke();
 }
 
+// The row that comes next is to be passed on as it comes. To the decisions, the attempt ends here.
+void ServerConnection::begin_stream(std::size_t row) {
+  state_ = State::kStreaming;
+  row_left_ = row;
+  pool_.loop_.cancel(&job_timer_);
+  pool_.out_.erase(job_->request);
+  ++pool_.streams_;
+  AttemptEnd end;
+  end.result.request = job_->request;
+  end.result.attempt = job_->attempt;
+  end.result.server = server_;
+  end.result.ending = Ending::kServed;
+  end.result.taken = pool_.loop_.now() - job_->started;
+  end.stream = true;
+  end.connection = this;
+  pool_.events_.attempt_ended(std::move(end));
+}
+
+void ServerConnection::more() {
+  if (state_ != State::kStreaming || !client_) return;
+  pump();
+  account();
+}
+
+void ServerConnection::abandon() {
+  client_ = nullptr;
+  if (!pumping_ && state_ == State::kStreaming) stream_over(false, false);
+}
+
+// Reads as fast as the client takes: what it has no room for stays in the kernel, and so with the server.
+void ServerConnection::pump() {
+  if (!client_ || pumping_) return;
+  pumping_ = true;
+  auto& loop = pool_.loop_;
+  loop.cancel(&job_timer_);
+  std::size_t left = kStreamPerTurn;
+  bool waits_for_server = false;
+  while (true) {
+    pass_on();
+    if (!client_ || state_ != State::kStreaming) break;
+    if (row_left_ > 0 && !in_.view().empty()) break;  // the client has no room: its turn
+    if (peer_closed_) {
+      stream_over(false, false);
+      break;
+    }
+    if (left == 0) {
+      loop.again(this);
+      break;
+    }
+    auto held = in_.view().size();
+    auto end = in_.fill(fd_.get(), std::max(held + 1, pool_.window()), left);
+    auto got = in_.view().size() - held;
+    left -= std::min(left, got);
+    if (end == net::IoEnd::kClosed) peer_closed_ = true;
+    if (got == 0 && end == net::IoEnd::kAgain) {
+      waits_for_server = true;
+      break;
+    }
+    if (row_left_ == 0 && in_.view().size() > kLongestMessage) {  // noise where the answer ought to end
+      stream_over(false, false);
+      break;
+    }
+  }
+  pumping_ = false;
+  if (state_ != State::kStreaming) return;
+  if (!client_) return stream_over(false, false);
+  if (waits_for_server)
+    job_timer_ = loop.at(loop.now() + kStreamStall, [this] {
+      pool_.spoilt(server_);
+      stream_over(false, false);
+    });
+}
+
+// Gives the client what has come of the row, and then the end of the answer.
+void ServerConnection::pass_on() {
+  while (row_left_ > 0 && client_) {
+    auto in = in_.view();
+    auto n = std::min({row_left_, in.size(), client_->room(pool_.window())});
+    if (n == 0) return;
+    client_->piece(in.substr(0, n));
+    in_.consume(n);
+    row_left_ -= n;
+  }
+  if (!client_) return;
+  pg::Frame message;
+  while (client_ && state_ == State::kStreaming) {
+    auto parse = pg::parse_frame(in_.view(), kLongestMessage, &message);
+    if (parse == pg::Parse::kMore) return;
+    bool passed = parse == pg::Parse::kOk && (message.type == 'N' || message.type == 'S');
+    if (parse == pg::Parse::kOk && message.type == 'C' && complete_.size == 0) {
+      complete_.size = message.size;
+      client_->piece(in_.view().substr(0, message.size));
+      passed = true;
+    }
+    if (parse == pg::Parse::kOk && message.type == 'Z' && complete_.size > 0)
+      return stream_over(true, in_.view().size() == message.size);
+    if (!passed) {
+      pool_.spoilt(server_);
+      return stream_over(false, false);
+    }
+    in_.consume(message.size);
+  }
+}
+
+void ServerConnection::stream_over(bool whole, bool reusable) {
+  pool_.loop_.cancel(&job_timer_);
+  auto request = job_->request;
+  job_.reset();
+  --pool_.streams_;
+  state_ = State::kSettled;
+  reusable_ = reusable && !peer_closed_;
+  auto* client = std::exchange(client_, nullptr);
+  pool_.events_.stream_ended(request, client ? std::optional(whole) : std::nullopt);
+  if (client) client->stream_ended(whole);
+  pool_.give_back(this);
+}
+
 // False: this message has no place here.
 bool ServerConnection::frame(const pg::Frame& message, std::size_t at) {
   Span whole_message{at, message.size};
@@ -274,6 +435,7 @@
   for (auto& m : list.members) {
     auto& server = servers_[m.id];
     server.listed = m.lifecycle != discovery::Lifecycle::kRemoved;
+    server.cordoned = m.cordoned;
     if (!m.address.empty() && m.address != server.address_text) {
       server.address = net::parse_address(m.address);
       server.address_text = m.address;
@@ -281,6 +443,10 @@
         log_(net::Level::kError, fmt::format("server {} has no usable address: '{}'", m.id, m.address));
       drop_idle(server);
     }
+    if (server.cordoned) {
+      drop_idle(server);
+      drop_unwritten(m.id);
+    }
   }
   std::vector<std::string> left;
   for (auto& [id, server] : servers_)
@@ -312,6 +478,16 @@
   for (auto* connection : idle) close(connection);
 }
 
+// From an operator's word on, nothing more begins at the server: what still waits for its connection, or of
+// which a part has gone out, goes back as never sent.
+void ServerPool::drop_unwritten(const std::string& name) {
+  std::vector<ServerConnection*> unwritten;
+  for (auto& [connection, owned] : all_)
+    if (connection->server_ == name && connection->job_ && !connection->written_)
+      unwritten.push_back(connection);
+  for (auto* connection : unwritten) connection->finish(Ending::kNotSent, false);
+}
+
 void ServerPool::start(RequestId request, int attempt, const std::string& server, Micros wait) {
   ServerConnection::Job job;
   job.request = request;
@@ -384,15 +560,34 @@
   auto* connection = static_cast<ServerConnection*>(given);
   if (!connection->reusable_ || !connection->out_.empty()) return close(connection);
   auto& server = servers_[connection->server_];  // it stays as long as its connections
-  if (!server.listed || (others_ && others_->too_many_connections(connection->server_)))
+  if (!server.listed || server.cordoned || (others_ && others_->too_many_connections(connection->server_)))
     return close(connection);
   connection->in_.consume(connection->in_.view().size());
+  connection->account();
   connection->parsed_ = 0;
   connection->state_ = ServerConnection::State::kIdle;
   connection->idle_timer_ = loop_.at(loop_.now() + limits_.idle, [this, connection] { close(connection); });
   server.idle.push_back(connection);
 }
 
+void ServerPool::stream_to(void* given, ClientPort* client) {
+  auto* connection = static_cast<ServerConnection*>(given);
+  if (all_.count(connection) == 0 || connection->state_ != ServerConnection::State::kStreaming) return;
+  if (!client) return connection->stream_over(false, false);
+  connection->client_ = client;
+  client->stream(*connection);
+  // The description goes with the row, in the answer's turn: others may be on their way to this client.
+  connection->row_left_ += connection->parsed_ - connection->row_description_.at;
+  connection->in_.consume(connection->row_description_.at);
+  connection->parsed_ = 0;
+  connection->more();
+}
+
+std::size_t ServerPool::window() const {
+  auto part = limits_.stream_memory / std::max<std::size_t>(1, streams_) / 2;
+  return std::clamp(part, kLeastWindow, kMostWindow);
+}
+
 bool ServerPool::close_one_idle() {
   Server* most = nullptr;
   for (auto& [id, server] : servers_)
@@ -414,6 +609,7 @@
   loop_.cancel(&connection->idle_timer_);
   if (connection->fd_) loop_.remove(connection->fd_.get(), connection);
   connection->fd_.reset();
+  connection->account();
   if (others_) others_->connection_closed(connection->server_);
   if (auto server = servers_.find(connection->server_); server != servers_.end()) {
     std::erase(server->second.idle, connection);
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -22,19 +22,23 @@
   Micros connect_timeout{250'000};
   Micros idle{20'000'000};  // well before the server's own idle limit: what crosses that ends as a reset
   Micros probe_timeout{250'000};
+  std::size_t stream_memory = 8 << 20;  // bytes that all long answers on their way may hold together
 };
 
 class ServerPool;
 
-class ServerConnection : public net::Handler {
+class ServerConnection : public net::Handler, public StreamSource {
  public:
   ServerConnection(ServerPool& pool, std::string server) : pool_(pool), server_(std::move(server)) {}
   ~ServerConnection() override;
   void on_ready(std::uint32_t events) override;
+  void more() override;
+  void abandon() override;
 
  private:
   friend class ServerPool;
-  enum class State { kConnecting, kGreeting, kIdle, kBusy, kSettled };
+  // kStreaming: a long answer has begun, and goes to the client as it comes.
+  enum class State { kConnecting, kGreeting, kIdle, kBusy, kStreaming, kSettled };
 
   struct Job {
     bool probe = false;
@@ -47,11 +51,18 @@
     std::size_t at = 0, size = 0;
   };
 
+  void handle(std::uint32_t events);
+  void account();  // tells the pool's house of what this holds in memory
   bool open(const net::Address& address, int* error);
   bool begin(const Job& job);  // writes it, or connects first; false: broken before a byte went out
   bool ready();
+  void all_written();
   void read_frames();
   bool frame(const pg::Frame& frame, std::size_t at);
+  void begin_stream(std::size_t row);
+  void pump();
+  void pass_on();
+  void stream_over(bool whole, bool reusable);
   void finish(routing::Ending ending, bool reusable);
   void broke();
   void spoilt();
@@ -67,7 +78,10 @@
   std::optional<Job> job_;
   net::Loop::TimerId job_timer_ = net::Loop::kNoTimer, idle_timer_ = net::Loop::kNoTimer;
   bool written_ = false, used_ = false, reusable_ = false, peer_closed_ = false;
-  std::size_t parsed_ = 0;
+  std::size_t parsed_ = 0, counted_ = 0;
+  ClientPort* client_ = nullptr;  // of a stream, as long as it is there
+  std::size_t row_left_ = 0;      // of a stream: bytes of its row that are still to be passed on
+  bool pumping_ = false;
   Span row_description_, data_row_, complete_, value_;
   std::string error_, load_;
   routing::ServerRole role_ = routing::ServerRole::kUnknown;
@@ -86,20 +100,24 @@
   // Closes; tells nobody unless an attempt was out, and where `attempt` is given, just that one.
   void cancel(RequestId request, std::optional<int> attempt = std::nullopt);
   void probe(const std::string& server);
-  void give_back(void* connection);  // the answer of its attempt has been passed on
-  bool close_one_idle();             // to make room for a descriptor; false: there is none
+  void stream_to(void* connection, ClientPort* client);  // nullptr: nobody wants it any more
+  void give_back(void* connection);                      // the answer of its attempt has been passed on
+  bool close_one_idle();  // to make room for a descriptor; false: there is none
   void close_one_idle(const std::string& server);
+  std::uint64_t written() const { return written_; }  // attempts whose last byte went out
   std::size_t servers_known() const { return servers_.size(); }
   void sweep();  // at the end of a turn: frees what was closed in it
   // Asked before a new connection: false when no descriptor is left.
   std::function<bool()> room = [] { return true; };
+  // Told of each change of what the answers that are on their way hold in memory.
+  std::function<void(std::ptrdiff_t)> buffered = [](std::ptrdiff_t) {};
 
  private:
   friend class ServerConnection;
   struct Server {
     std::optional<net::Address> address;
     std::string address_text;
-    bool listed = false;
+    bool listed = false, cordoned = false;
     int connections = 0;
     std::vector<ServerConnection*> idle;
   };
@@ -108,7 +126,9 @@
   void ended_unsent(const std::string& server, const ServerConnection::Job& job, routing::Ending ending);
   void close(ServerConnection* connection);
   void drop_idle(Server& server);
+  void drop_unwritten(const std::string& name);
   void forget(const std::string& name);
+  std::size_t window() const;  // what one long answer may hold on each side
   void spoilt(const std::string& server);
 
   net::Loop& loop_;
@@ -120,7 +140,8 @@
   std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>> all_;
   std::unordered_map<RequestId, ServerConnection*> out_;  // attempts that are out
   std::vector<std::unique_ptr<ServerConnection>> closed_;
-  std::uint64_t spoilt_ = 0;
+  std::uint64_t spoilt_ = 0, written_ = 0;
+  std::size_t streams_ = 0;
   Micros spoilt_told_{INT64_MIN / 2};
 };
 
--- a/src/routing/decider.h
+++ b/src/routing/decider.h
@@ -21,6 +21,11 @@
   virtual void gone(Micros now, RequestId request) = 0;
   // False: it has no room for one more, and this request was not taken.
   virtual bool ask(Micros now, const Request& request) = 0;
+  virtual Facade::Registry registry(Micros now) const = 0;
+  // Of another process that is this same proxy; nothing where a thread of its own decides, which is told.
+  virtual Learned learned() const { return {}; }
+  virtual void learn(const Learned&) {}
+  virtual void beside(int) {}
   // What was decided since the last call, in order. `next_due`: call again by then.
   virtual Ticked collect(Micros now) = 0;
 };
@@ -41,6 +46,10 @@
     facade_.ask(now, request);
     return true;
   }
+  Facade::Registry registry(Micros now) const override { return facade_.registry(now); }
+  Learned learned() const override { return facade_.learned(); }
+  void learn(const Learned& learned) override { facade_.learn(learned); }
+  void beside(int others) override { facade_.beside(others); }
   Ticked collect(Micros now) override { return facade_.tick(now); }
 
  private:
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -78,14 +78,16 @@
     entry.member = member(now, m.id);
     entry.group = m.cell;
     entry.zone = m.zone;
-    entry.condition = m.lifecycle == discovery::Lifecycle::kUp         ? bc::Condition::Ready
+    entry.condition = m.lifecycle == discovery::Lifecycle::kRemoved    ? bc::Condition::Gone
+                      : m.cordoned                                     ? bc::Condition::Cordoned
+                      : m.lifecycle == discovery::Lifecycle::kUp       ? bc::Condition::Ready
                       : m.lifecycle == discovery::Lifecycle::kDraining ? bc::Condition::Draining
                                                                        : bc::Condition::Gone;
     entry.weight = m.weight;
     // 0 says long ago; a true start is kept above 0 even where this machine booted later.
     if (m.started_at_ms > 0) entry.startedAt = std::max(Micros(1), clock_.known(m.started_at_ms));
     auto& server = servers_[entry.member];
-    server.up = m.lifecycle == discovery::Lifecycle::kUp;
+    server.up = m.lifecycle == discovery::Lifecycle::kUp && !m.cordoned;
     server.listed = m.lifecycle != discovery::Lifecycle::kRemoved;
     told.entries.push_back(std::move(entry));
   }
@@ -100,6 +102,39 @@
   });
 }
 
+Facade::Registry Facade::registry(Micros now) const {
+  Registry r;
+  for (auto& [number, server] : servers_) {
+    if (!server.listed) continue;
+    ++r.entries;
+    r.avoided += router_.avoids(number, now);
+  }
+  return r;
+}
+
+Learned Facade::learned() const {
+  Learned all;
+  auto all_known = router_.known();
+  for (auto& k : all_known) {
+    auto it = servers_.find(k.member);
+    if (it == servers_.end() || !it->second.listed) continue;
+    all.push_back({it->second.name, static_cast<int>(k.role), k.roleAsOf, k.heardAt,
+                   clock_.to_unix(k.position), k.limit, std::move(k.latency)});
+  }
+  return all;
+}
+
+void Facade::learn(const Learned& learned) {
+  for (auto& l : learned) {
+    auto it = numbers_.find(l.server);
+    if (it == numbers_.end()) continue;
+    pending_.emplace_back(bc::Known{it->second, static_cast<bc::Role>(l.role), l.role_as_of,
+                                    clock_.from_unix(l.position_unix), l.heard_at, l.limit, l.latency});
+  }
+}
+
+void Facade::beside(int others) { pending_.emplace_back(bc::Beside{others}); }
+
 // "inflight=7,util=0.61", or the same with colons.
 bc::Report Facade::load_report(std::string_view text) const {
   bc::Report report;
@@ -112,6 +147,7 @@
     if (name == "x0" && *value > 0 && *value < 9e9) report.position = clock_.known_seconds(*value);
     if (name == "x1") report.primary = *value == 1;
     if (name == "util" || name == "busy") report.busy = *value;
+    if (name == "rif" || name == "inflight") report.held = *value;
   }
   return report;
 }
--- a/src/routing/facade.h
+++ b/src/routing/facade.h
@@ -12,6 +12,7 @@
 
 #include "badgercourse/router.h"
 #include "discovery/members.h"
+#include "routing/learned.h"
 #include "routing/unix_clock.h"
 
 namespace linenwinch::routing {
@@ -103,6 +104,17 @@
   void ask(Micros now, const Request& request);  // the same; its decision comes with the next tick()
   Ticked tick(Micros now);
 
+  // What was learned of servers, and the same as another process of this proxy learned it.
+  Learned learned() const;
+  void learn(const Learned& learned);
+  void beside(int others);  // so many more processes share this proxy's part
+
+  // The servers in the list, and those of them that get nothing at present.
+  struct Registry {
+    std::size_t entries = 0, avoided = 0;
+  };
+  Registry registry(Micros now) const;
+
   // What is kept of servers: bounded by those that are listed or have gone just now.
   std::size_t servers_known() const { return servers_.size(); }
   std::size_t members_known() const { return router_.members(); }
--- a/src/routing/unix_clock.h
+++ b/src/routing/unix_clock.h
@@ -35,6 +35,9 @@
   Micros known_seconds(double unix_s) const {
     return Micros(static_cast<std::int64_t>(std::floor(unix_s * 1e6))) - distance_;
   }
+  // As servers told it, for another process; and back, by that one's distance.
+  Micros to_unix(Micros position) const { return position + distance_; }
+  Micros from_unix(Micros position) const { return position - distance_; }
   // A position that a read must see: never earlier than it is (it comes rounded up to a millisecond).
   Micros required(std::int64_t unix_ms) const { return Micros(sane(unix_ms) * 1000 + 1) - distance_; }
 
--- a/src/workers/decision_thread.cpp
+++ b/src/workers/decision_thread.cpp
@@ -13,6 +13,8 @@
 constexpr int kBatch = 256;
 // While a worker's ring is full: how soon the rest is tried again.
 constexpr Micros kTryAgain{1000};
+// How often the figures on the list are renewed; operators are told them up to 0.5 s late.
+constexpr Micros kLookEvery{100'000};
 
 }  // namespace
 
@@ -47,6 +49,7 @@
 void DecisionThread::list(discovery::MemberUpdate update, bool cached) {
   post([this, update = std::move(update), cached] {
     ++list_;
+    looked_ = Micros(INT64_MIN / 2);
     pool_.update(update);
     facade_->update(loop_.now(), update, cached);
   });
@@ -89,6 +92,14 @@
   auto ticked = facade_->tick(now);
   route(std::move(ticked.decisions));
   bool ready = facade_->ready(), left = false;
+  if (now - looked_ >= kLookEvery) {
+    looked_ = now;
+    auto registry = facade_->registry(now);
+    for (auto& line : lines_) {
+      line->entries.store(registry.entries, std::memory_order_relaxed);
+      line->avoided.store(registry.avoided, std::memory_order_relaxed);
+    }
+  }
   for (std::size_t w = 0; w < lines_.size(); ++w) {
     left |= lines_[w]->made.flush();
     if (lines_[w]->ready.exchange(ready, std::memory_order_acq_rel) != ready) told_[w] = true;
--- a/src/workers/decision_thread.h
+++ b/src/workers/decision_thread.h
@@ -31,6 +31,15 @@
   void post(Mailbox::Call call) { mailbox_.post(std::move(call)); }
   void list(discovery::MemberUpdate update, bool cached);
   void set_limits(proxy::PoolLimits limits);
+  void learned(std::function<void(const routing::Learned&)> done) {  // called in its own thread
+    post([this, done = std::move(done)] { done(facade_->learned()); });
+  }
+  void learn(routing::Learned learned) {
+    post([this, learned = std::move(learned)] { facade_->learn(learned); });
+  }
+  void beside(int others) {
+    post([this, others] { facade_->beside(others); });
+  }
   std::uint64_t probes() const { return probes_made_.load(std::memory_order_relaxed); }
   std::size_t descriptors() const { return descriptors_.load(std::memory_order_relaxed); }
 
@@ -52,8 +61,9 @@
   std::vector<bool> told_;  // workers to wake at the end of the turn
   std::vector<routing::Request> asked_;
   std::vector<routing::ProbeResult> probed_;
-  std::uint64_t list_ = 0;  // changes of the list so far
-  std::size_t first_ = 0;   // whose line is looked at first, in turn
+  std::uint64_t list_ = 0;             // changes of the list so far
+  net::Micros looked_{INT64_MIN / 2};  // when the list was last looked at for the figures
+  std::size_t first_ = 0;              // whose line is looked at first, in turn
   net::Loop::TimerId due_ = net::Loop::kNoTimer;
   std::atomic<std::uint64_t> probes_made_{0};
   std::atomic<std::size_t> descriptors_{0};
--- a/src/workers/fence.cpp
+++ b/src/workers/fence.cpp
@@ -14,7 +14,7 @@
   std::unordered_map<std::string, bool> before;
   if (update.reset) before.swap(takes_);
   for (auto& m : update.members) {
-    bool takes = m.lifecycle == discovery::Lifecycle::kUp;
+    bool takes = m.lifecycle == discovery::Lifecycle::kUp && !m.cordoned;
     if (takes) {
       takes_[m.id] = true;
       continue;
--- a/src/workers/group.cpp
+++ b/src/workers/group.cpp
@@ -24,6 +24,8 @@
 // own.
 constexpr double kClientShare = 2.0 / 3;
 constexpr std::size_t kOwnDescriptors = 16, kOfEachProxy = 2;
+// As a proxy by itself: until discovery has answered, or for so long, `health` says no.
+constexpr Micros kFirstWord = 300ms;
 
 }  // namespace
 
@@ -70,7 +72,7 @@
     proxy_ = std::make_unique<proxy::Proxy>(loop_, *decider_, options, log_, *this);
     proxy_->before_turn_end = [this] { mailbox_.drain(); };
     proxy_->on_ready = [this] {
-      if (!group_.told_ready_.exchange(true)) group_.log_(net::Level::kInfo, "ready to serve");
+      if (!group_.told_ready_.exchange(true)) group_.mailbox_.post([this] { group_.ready(); });
     };
   }
   ~Worker() override { join(); }
@@ -86,7 +88,7 @@
       name_and_pin(fmt::format("worker-{}", number_), cpu);
       proxy_->run();
       running_ = false;
-      group_.mailbox_.post([this] { group_.ended(); });
+      group_.mailbox_.post([this] { group_.ended(number_); });
     });
   }
   void post(std::function<void()> call) { mailbox_.post(std::move(call)); }
@@ -102,6 +104,7 @@
   }
   Seat seat() const { return {group_.holdings_.of(number_).clients, dealt_.load(), running_.load()}; }
   proxy::Proxy& proxy() { return *proxy_; }
+  bool running() const { return running_; }
   std::uint64_t returned() const { return remote_ ? remote_->returned() : 0; }
 
   // Neighbours, in the worker's own thread.
@@ -173,14 +176,23 @@
   explicit Acceptor(Group& group) : group_(group) {
     auto address = net::parse_address(group.config_.proxy.listen);
     std::string error;
-    if (address) listener_ = net::listen_on(*address, &error);
+    int given = group.config_.proxy.listen_fd;
+    if (address)
+      listener_ =
+          given >= 0 ? net::inherit_listener(given, *address, &error) : net::listen_on(*address, &error);
     if (!listener_)
       throw std::runtime_error(fmt::format("cannot listen on {}: {}", group.config_.proxy.listen, error));
-    if (!group.control_.add(listener_.get(), this)) throw std::runtime_error("cannot watch the listener");
+    if (given < 0) start();  // else once a worker can serve: until then the other process does
   }
-  ~Acceptor() override {
+  ~Acceptor() override { stop(); }
+  void start() {
+    if (watched_) return;
+    if (!group_.control_.add(listener_.get(), this)) throw std::runtime_error("cannot watch the listener");
+    watched_ = true;
+  }
+  void stop() {
     group_.control_.cancel(&again_);
-    group_.control_.remove(listener_.get(), this);
+    if (std::exchange(watched_, false)) group_.control_.remove(listener_.get(), this);
   }
   int port() const { return net::local_port(listener_.get()); }
   void on_ready(std::uint32_t) override {
@@ -189,7 +201,7 @@
       auto all = group_.holdings_.others(seats.size());
       std::size_t dealt = 0;
       for (auto& s : seats) dealt += s.dealt;
-      auto limit = group_.descriptors_.load();
+      auto limit = group_.descriptors_allowed();
       auto most = static_cast<double>(limit - kOwnDescriptors) * kClientShare;
       auto own = kOwnDescriptors + kOfEachProxy * seats.size() +
                  (group_.decisions_ ? group_.decisions_->descriptors() : 0);
@@ -224,6 +236,7 @@
   Group& group_;
   net::Fd listener_;
   std::size_t last_ = 0;
+  bool watched_ = false;
   std::uint64_t without_descriptor_ = 0;
   net::Loop::TimerId again_ = net::Loop::kNoTimer;
 };
@@ -261,10 +274,17 @@
   }
   auto known = config_.proxy.known;
   known.reset = true;
+  known = config_.proxy.lay_over(std::move(known));
   if (decisions_) decisions_->list(known, true);  // the workers have it from their options
+  note(known);
+  started_ = control_.now();
   discovery_.emplace(
       control_, config_.proxy.discovery, known.generation, config_.proxy.pace,
-      [this](discovery::MemberUpdate update) { told(std::move(update), false); }, log_);
+      [this](discovery::MemberUpdate update) {
+        told_ = true;
+        told(config_.proxy.lay_over(std::move(update)), false);
+      },
+      log_);
 }
 
 Group::~Group() {
@@ -275,9 +295,20 @@
   for (auto& worker : workers_) worker->post([&p = worker->proxy()] { p.stop_now(); });
 }
 
+void Group::note(const discovery::MemberUpdate& update) {
+  if (update.reset) usable_.clear();
+  for (auto& m : update.members) {
+    if (m.lifecycle == discovery::Lifecycle::kUp && !m.cordoned)
+      usable_.insert(m.id);
+    else
+      usable_.erase(m.id);
+  }
+}
+
 // Workers first: a decision that knows of this list must not reach one that does not, and where it does all
 // the same, it waits there.
 void Group::told(discovery::MemberUpdate update, bool cached) {
+  note(update);
   for (auto& worker : workers_)
     worker->post([update, cached, &p = worker->proxy()] { p.list(update, cached); });
   if (decisions_) decisions_->list(std::move(update), cached);
@@ -299,16 +330,121 @@
   log_(net::Level::kInfo, counters_.stopped());
 }
 
-void Group::ended() {
+void Group::ready() {
+  log_(net::Level::kInfo, "ready to serve");
+  if (acceptor_ && !stopping_) acceptor_->start();
+  on_ready();
+}
+
+std::shared_ptr<Group::Round> Group::begin_round(std::function<void(proxy::Proxy&)> take,
+                                                 std::function<void()> done) {
+  auto round = std::make_shared<Round>(
+      Round{std::vector<bool>(workers_.size(), true), workers_.size(), std::move(take), std::move(done)});
+  rounds_.push_back(round);
+  return round;
+}
+
+void Group::settle(const std::shared_ptr<Round>& round, std::size_t worker) {
+  if (!round->owed[worker]) return;
+  round->owed[worker] = false;
+  if (--round->left > 0) return;
+  std::erase(rounds_, round);
+  round->done();
+}
+
+void Group::tell(discovery::MemberUpdate update, std::function<void()> applied) {
+  told(std::move(update), false);
+  auto round = begin_round([](auto&) {}, std::move(applied));
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    if (!workers_[i]->running()) {
+      settle(round, i);
+      continue;
+    }
+    // A worker takes its mail before it carries out decisions. Mail that is posted by mail is taken in a
+    // later turn, when those of the first were made with the update in force.
+    workers_[i]->post([this, i, round] {
+      workers_[i]->post([this, i, round] { mailbox_.post([this, i, round] { settle(round, i); }); });
+    });
+  }
+}
+
+void Group::figures(std::function<void(operation::Figures)> done) {
+  auto sum = std::make_shared<operation::Figures>();
+  sum->classes.resize(config_.settings.classes.size());
+  auto round = begin_round([sum](auto& p) { sum->add(p.figures()); },
+                           [sum, done = std::move(done)] { done(std::move(*sum)); });
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    if (!workers_[i]->running()) {
+      round->take(workers_[i]->proxy());
+      settle(round, i);
+      continue;
+    }
+    workers_[i]->post([this, i, round, sum] {
+      mailbox_.post([this, i, round, sum, figures = workers_[i]->proxy().figures()] {
+        sum->add(figures);
+        settle(round, i);
+      });
+    });
+  }
+}
+
+void Group::ended(std::size_t worker) {
+  for (auto& round : std::vector(rounds_)) {
+    if (!round->owed[worker]) continue;
+    round->take(workers_[worker]->proxy());
+    settle(round, worker);
+  }
   if (--running_ == 0) control_.stop();
 }
 
-void Group::shut_down() {
+std::string Group::unable() const {
+  if (stopping_) return "it has been told to stop";
+  if (!told_ready_ || usable_.empty()) return "no data server is known that is up and not cordoned";
+  if (!told_ && control_.now() - started_ < kFirstWord) return "discovery has not answered yet";
+  return "";
+}
+
+std::size_t Group::descriptors_allowed() const {
+  auto limit = descriptors_.load();
+  return limit - std::min(others_hold_.load(), limit / 2);
+}
+
+std::size_t Group::descriptors_held() const {
+  return holdings_.others(workers_.size()).descriptors + config_.proxy.kept_back + kOwnDescriptors +
+         kOfEachProxy * workers_.size() + (decisions_ ? decisions_->descriptors() : 0);
+}
+
+void Group::beside(int others, std::size_t descriptors) {
+  others_hold_ = descriptors;
+  for (auto& worker : workers_)
+    worker->post([others, descriptors, &p = worker->proxy()] { p.beside(others, descriptors); });
+  if (decisions_) decisions_->beside(others);
+}
+
+// Of several modules, the first one's: they see the same data servers.
+void Group::learned(std::function<void(routing::Learned)> done) {
+  auto tell = [this, done = std::move(done)](const routing::Learned& learned) {
+    mailbox_.post([done, learned] { done(learned); });
+  };
+  if (decisions_)
+    decisions_->learned(tell);
+  else
+    workers_[0]->post([tell, &p = workers_[0]->proxy()] { tell(p.dispatcher().learned()); });
+}
+
+void Group::learn(const routing::Learned& learned) {
+  for (auto& worker : workers_)
+    worker->post([learned, &p = worker->proxy()] { p.dispatcher().learn(learned); });
+  if (decisions_) decisions_->learn(learned);
+}
+
+void Group::shut_down(bool relieved) {
   if (std::exchange(stopping_, true)) return;
+  if (relieved && acceptor_) acceptor_->stop();
   std::size_t clients = 0;
   for (auto& s : seats()) clients += s.clients;
   log_(net::Level::kInfo, fmt::format("told to stop: {} clients, {} requests open", clients, names_.size()));
-  for (auto& worker : workers_) worker->post([&p = worker->proxy()] { p.shut_down(); });
+  for (auto& worker : workers_) worker->post([relieved, &p = worker->proxy()] { p.shut_down(relieved); });
 }
 
 void Group::reconfigure(const proxy::ProxyOptions& options, int connections_per_server) {
--- a/src/workers/group.h
+++ b/src/workers/group.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "badgercourse/router.h"
@@ -54,12 +55,23 @@
   Group(net::Loop& control, GroupConfig config, std::function<net::Log(const std::string&)> log);
   ~Group();
 
-  void run();        // until all workers have stopped
-  void shut_down();  // each finishes what was taken; run() returns after that
-  void stop_now();   // run() returns soon, whatever is open
+  void run();                             // until all workers have stopped
+  void shut_down(bool relieved = false);  // each finishes what was taken; run() returns after that
+  void stop_now();                        // run() returns soon, whatever is open
   void reconfigure(const proxy::ProxyOptions& options, int connections_per_server);
   int port() const;
 
+  // For operators, in the control thread. `applied`: once no worker sends by what was known before.
+  void tell(discovery::MemberUpdate update, std::function<void()> applied);
+  void figures(std::function<void(operation::Figures)> done);  // summed over all workers
+  std::string unable() const;                                  // why they cannot serve; empty: they can
+  std::size_t descriptors_held() const;
+  // Another process is this same proxy for a while: what it holds, what this one has learned and it has.
+  void beside(int others, std::size_t descriptors);
+  void learned(std::function<void(routing::Learned)> done);
+  void learn(const routing::Learned& learned);
+  std::function<void()> on_ready = [] {};  // the first worker can serve
+
   // For tests and tools, from any thread: runs it in the worker's, or the decision thread's, own thread.
   void post(std::size_t worker, std::function<void(proxy::Proxy&)> call);
   void post_decisions(std::function<void()> call);
@@ -73,10 +85,23 @@
   class Acceptor;
   friend class Worker;
   void told(discovery::MemberUpdate update, bool cached);
+  void note(const discovery::MemberUpdate& update);
   void ask_for_room(std::optional<std::size_t> asker);
   void cancel(std::uint32_t number, std::uint32_t secret);
   std::vector<Seat> seats() const;
-  void ended();  // a worker has stopped
+  std::size_t descriptors_allowed() const;
+  void ended(std::size_t worker);
+  // What is asked of all workers: each one's part comes from its own thread, or is taken here where it has
+  // ended, which it may at any moment.
+  struct Round {
+    std::vector<bool> owed;
+    std::size_t left;
+    std::function<void(proxy::Proxy&)> take;
+    std::function<void()> done;
+  };
+  std::shared_ptr<Round> begin_round(std::function<void(proxy::Proxy&)> take, std::function<void()> done);
+  void settle(const std::shared_ptr<Round>& round, std::size_t worker);
+  void ready();  // a worker can serve
 
   net::Loop& control_;
   GroupConfig config_;
@@ -86,6 +111,7 @@
   OpenNames names_;
   ServerConnections connections_;
   std::atomic<std::size_t> descriptors_;  // as configured now
+  std::atomic<std::size_t> others_hold_{0};
   std::atomic<int> connections_per_server_;
   std::unique_ptr<DecisionThread> decisions_;
   std::vector<std::unique_ptr<Worker>> workers_;
@@ -95,6 +121,10 @@
   std::atomic<bool> told_ready_{false};
   bool stopping_ = false;
   std::size_t running_ = 0;
+  std::vector<std::shared_ptr<Round>> rounds_;
+  std::unordered_set<std::string> usable_;  // data servers that are up and not cordoned
+  bool told_ = false;                       // discovery has answered
+  Micros started_{0};
   proxy::Counters counters_;
 };
 
--- a/src/workers/remote_decider.h
+++ b/src/workers/remote_decider.h
@@ -22,9 +22,10 @@
 // Both ways between one worker and the decision thread.
 struct Line {
   explicit Line(std::size_t ring) : told(ring), made(ring) {}
-  Channel<Told> told;               // worker to decisions
-  Channel<routing::Decision> made;  // decisions to worker
-  std::atomic<bool> ready{false};   // the decisions know of a server that is up
+  Channel<Told> told;                               // worker to decisions
+  Channel<routing::Decision> made;                  // decisions to worker
+  std::atomic<bool> ready{false};                   // the decisions know of a server that is up
+  std::atomic<std::size_t> entries{0}, avoided{0};  // of the list, at the last turn that looked
 };
 
 class RemoteDecider : public routing::Decider {
@@ -43,6 +44,9 @@
   void report(Micros, routing::ProbeResult) override {}  // the decision thread probes by itself
   void gone(Micros now, routing::RequestId request) override;
   bool ask(Micros now, const routing::Request& request) override;
+  routing::Facade::Registry registry(Micros) const override {
+    return {line_.entries.load(std::memory_order_relaxed), line_.avoided.load(std::memory_order_relaxed)};
+  }
   routing::Ticked collect(Micros now) override;
 
   bool waiting() const { return line_.made.waiting(); }  // decisions wait to be collected
--- a/tests/lab/process_test.cpp
+++ b/tests/lab/process_test.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 
 #include "lab/daemon.h"
+#include "lab/folder.h"
 #include "lab/load.h"
 #include "lab/stand_in.h"
 #include "net/rig.h"
@@ -10,16 +11,6 @@
 namespace linenwinch::lab {
 namespace {
 
-struct Folder {
-  Folder() {
-    auto pattern = (std::filesystem::temp_directory_path() / "linenwinch-XXXXXX").string();
-    REQUIRE(mkdtemp(pattern.data()));
-    path = pattern;
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-  std::string path;
-};
-
 std::size_t times(const std::string& text, const std::string& what) {
   std::size_t n = 0;
   for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) ++n;
@@ -28,7 +19,8 @@
 
 }  // namespace
 
-TEST_CASE("process: SIGHUP again and again and SIGTERM under load with four workers lose no request") {
+TEST_CASE("process: SIGHUP again and again and SIGTERM under load with four workers lose no request",
+          "[alone]") {
   for (std::string decisions : {"shared", "split"}) {
     StandIn stand_in(StandInOptions{});
     Folder folder;
@@ -80,7 +72,7 @@
   }
 }
 
-TEST_CASE("process: more workers than cores is a warning, and its usage can be read by thread") {
+TEST_CASE("process: more workers than cores is a warning, and its usage can be read by thread", "[alone]") {
   StandIn stand_in(StandInOptions{});
   Folder folder;
   DaemonOptions d;
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -47,9 +47,11 @@
 class Peer {
  public:
   explicit Peer(int fd) : fd_(fd) { setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &kPatience, sizeof kPatience); }
-  static Peer to(int port) {
+  // `buffer`: bytes that the kernel may hold for it unread; 0: as many as it likes, megabytes mostly.
+  static Peer to(int port, int buffer = 0) {
     auto address = *net::parse_address("127.0.0.1:" + std::to_string(port));
     int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (buffer > 0) REQUIRE(setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer) == 0);
     REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address.storage), address.length) == 0);
     return Peer(fd);
   }
@@ -72,7 +74,7 @@
   // The next message: its letter and body. Letter 0: none came.
   std::pair<char, std::string> message() {
     pg::Frame frame;
-    while (pg::parse_frame(in, 1 << 22, &frame) != pg::Parse::kOk)
+    while (pg::parse_frame(in, 1 << 24, &frame) != pg::Parse::kOk)
       if (!more()) return {};
     std::pair<char, std::string> result{frame.type, std::string(frame.body)};
     in.erase(0, frame.size);
@@ -159,6 +161,7 @@
 
   std::function<Reply(const std::string&)> reply = [](const std::string&) { return Reply{}; };
   std::atomic<int> connections{0}, open{0}, out{0}, most_out{0}, probes{0};
+  std::atomic<int> held{0};       // what its load report says
   std::atomic<bool> full{false};  // its table of connections is: each new one is turned away
   std::string address() const { return listening_.address(); }
   std::vector<std::string> statements() {
@@ -190,7 +193,8 @@
       body.pop_back();
       if (body == "SHOW usage") {
         ++probes;
-        peer.send(row("x0=" + std::to_string(unix_ms() / 1000.0) + ",x1=" + (primary_ ? "1" : "0")) +
+        peer.send(row("x0=" + std::to_string(unix_ms() / 1000.0) + ",x1=" + (primary_ ? "1" : "0") +
+                      ",rif=" + std::to_string(held)) +
                   pg::ready_for_query());
         continue;
       }
@@ -324,7 +328,7 @@
 
 class Client : public Peer {
  public:
-  explicit Client(int port, bool greeted = true) : Peer(Peer::to(port)) {
+  explicit Client(int port, bool greeted = true, int buffer = 0) : Peer(Peer::to(port, buffer)) {
     if (!greeted) return;
     send(pg::startup_message("backend", "store"));
     REQUIRE(answer().end == 'Z');
@@ -398,12 +402,10 @@
       told.call = [&] {
         std::uint64_t count = 0;
         [[maybe_unused]] auto n = read(stop_.get(), &count, sizeof count);
-        std::function<void(proxy::Proxy&)> change;
         {
-          std::lock_guard lock(mutex_);
-          change = std::exchange(change_, {});
+          std::lock_guard lock(mutex_);  // with_proxy() goes on once it has run, not once it was taken
+          if (change_) return std::exchange(change_, {})(proxy);
         }
-        if (change) return change(proxy);
         gently ? proxy.shut_down() : loop.stop();
       };
       loop.add(stop_.get(), &told);
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -24,6 +24,24 @@
   CHECK(answer.value == "value");
 }
 
+TEST_CASE("data servers: one that was late gets no more until its load report says that it holds less") {
+  Rig rig;
+  rig.primary.reply = [](const std::string& sql) {
+    if (sql.find("id=late") != std::string::npos) std::this_thread::sleep_for(1300ms);
+    return Reply{};
+  };
+  Client client(rig.port);
+  CHECK(client.ask(write_sql("first", 3000)).row);
+  rig.primary.held = 90;
+  CHECK(client.ask(write_sql("late", 3000)).row);
+  auto before = rig.primary.count();
+  client.send(pg::simple_query(write_sql("next", 3000)));
+  std::this_thread::sleep_for(400ms);
+  CHECK(rig.primary.count() == before);
+  rig.primary.held = 3;
+  CHECK(client.answer().row);
+}
+
 TEST_CASE("clients: pipelined commands are answered in order, each once") {
   Rig rig;
   rig.primary.reply = rig.replica.reply = [](const std::string& sql) {
