Send by worth and chance to be in time; ask a crowded server what it holds

Replicas were probed at every turn while reads waited only for room, and the oldest request went first, which was late, as was the next.

--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -62,6 +62,7 @@
   bool carriedMarks = false;  // a session read says how old its last write is
   bool reportPosition = false;
   bool reportRole = false;
+  bool reportHeld = false;  // how many requests a member holds
   ReportMode reports = ReportMode::Off;
   ListRole listRole = ListRole::Off;
   // limits
@@ -81,6 +82,7 @@
   std::optional<Micros> position;  // absolute, on the caller's clock
   std::optional<bool> primary;
   std::optional<double> busy;
+  std::optional<double> held;  // requests that it holds
 };
 
 // events
--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -19,16 +19,16 @@
 constexpr double kStep = 0.1;         // of a limit: its largest change with one answer
 constexpr double kTie = 1.25;         // costs that differ by less are equal
 constexpr int kSameErrors = 2;        // members: a read that failed at so many is not sent again
-constexpr double kFewAttempts = 4;    // attempts in time that each group is credited with
-constexpr double kShedAt = 1.05;      // of the share answered in time: the share of requests let in
-constexpr int kShedTime = 8;          // smallest aims over which that is measured
 constexpr int kForget = 32;           // smallest aims: half of what a latency said has faded after so long
 constexpr double kRecent = 0.3;       // the same in the recent latency that load(N) is made of
 constexpr double kCalmAim = 0.35;     // of the aim: smoothed latency that a member's limit steers for
 constexpr double kFirstTotal = 16;    // over all routers: attempts in flight at an unknown member
 constexpr double kLeastLimit = 0.25;  // a limit under 1 is one attempt, and a pause after it
 constexpr double kLeastTotal = 8;     // over all routers: attempts a primary always takes without crowding
+constexpr double kSurely = 2;         // so many times those ahead of a write must fit in the time it has left
 constexpr double kFit = 0.5;          // of a class's latency: less time left than this cannot be in time
+constexpr double kCrowd = 32;         // requests, of all routers, that a member holds: with more it gets slow
+constexpr double kEase = 3;  // of a class's latency: where times are exponential, 95 of 100 take no longer
 constexpr double kFitAtOnce = 0.15;   // the same for one that has come just now: a quick answer may still do
 constexpr double kRescueWait = 0.35;  // of the aim: a read held longer may ask the primary for spare room
 constexpr double kRescueRoom = 0.5;   // of the primary's limit: rescued reads use no more
@@ -69,7 +69,7 @@
 struct Member {
   MemberId id = 0;
   GroupId group = 0;
-  bool sameZone = true, sawDraining = false;
+  bool sameZone = true, sawDraining = false, active = false;
   Condition condition = Condition::Ready;
   Micros toldAt = kNone;                     // when the list first said draining or gone
   Micros startedAt{0};                       // from the list
@@ -79,24 +79,21 @@
   Role role = Role::Unknown;
   Micros leadsSince = kNone;  // when this router learned that it is the primary
   Micros roleAsOf = kNone;    // the time the newest role claim speaks of
-  double order = 0;           // this router's own order of equal members
   Micros avgAt{0};
   std::vector<double> avg;  // smoothed latency by class, microseconds; 0: none yet
   double strain = 1;        // recent latency over avg: load(N) before its floor
   Micros strainAt{0};
   std::vector<Flight> flying;
-  double limit = 1;  // own attempts in flight, from kFirstTotal on
-  bool active = false;
-  Micros sentAt = kNone;
-  double pressure = 0;  // smoothed latency of all classes, in aims
-  double errors = 0;
+  double limit = 1;                 // own attempts in flight, from kFirstTotal on
+  double pressure = 0, errors = 0;  // smoothed: latency of all classes, in aims; share of errors
   Micros asideUntil = kNone, asideFor{0};
-  Micros heardAt = kNone;  // any answer at all
-  Micros muteAt = kNone;   // since when it is taken to be silent
+  Micros sentAt = kNone, heardAt = kNone;  // heard: any answer at all
+  Micros crowdedAt = kNone;                // when it was last known to hold more than it does well with
+  Micros muteAt = kNone;                   // since when it is taken to be silent
   Micros probeAt = kNone, probeGap{0}, lastProbe = kNone;
-  double probeTook = 0;
-  Micros missAt = kNone;   // it turned a read away, being behind
-  Micros triedAt = kNone;  // a write was tried there without knowing the primary
+  double probeTook = 0, order = 0;  // order: this router's own of equal members
+  Micros missAt = kNone;            // it turned a read away, being behind
+  Micros triedAt = kNone;           // a write was tried there without knowing the primary
 };
 
 // Work a time, over about the last `span`.
@@ -109,7 +106,6 @@
     sum = sum * weight(at, now) + work;
     at = now;
   }
-  double total(Micros now) const { return since == kNone ? 0 : sum * weight(at, now); }
   double level(Micros now) const {  // corrected for a short past
     return since == kNone ? 0 : sum * weight(at, now) / (1.01 - weight(since, now));
   }
@@ -128,7 +124,6 @@
   Micros need = kNone;           // session reads: the position that shows its last write
   std::vector<Attempt> attempts;
   int outs = 0;
-  bool decided = false;
 };
 
 struct Group {
@@ -136,7 +131,6 @@
   std::vector<RequestId> held;
   bool dirty = false, waits = false;
   Micros soughtAt = kNone, seekGap{0};
-  Rate asked, inTime;  // attempts that came to an end, and those of them answered within the aim
 };
 
 }  // namespace
@@ -153,8 +147,7 @@
   std::vector<bool> seen;                           // classes of which any answer has come
   std::vector<double> work;                         // smoothed latency by class over all members
   std::vector<Action> out;
-  Micros wakeAt{0}, wakeSet = kNone;
-  Micros smallestAim{0}, now{0}, quiet{0}, tick{0}, halfBound{0}, forget{0};
+  Micros wakeAt{0}, wakeSet = kNone, smallestAim{0}, now{0}, quiet{0}, tick{0}, halfBound{0}, forget{0};
   Micros tickAt{0}, paused{0};         // when the tick is due; how long this router has just stood still
   std::vector<Group*> dirty, waiting;  // to be decided in this batch; with requests held after the last one
   std::vector<Member*> active;         // with attempts or a probe out: those that are watched
@@ -205,14 +198,14 @@
     return cls(o).level == ReadLevel::Write || cls(o).level == ReadLevel::Fresh;
   }
 
+  double firstLimit() const { return std::max(1.0, kFirstTotal / std::max(1, set.routers)); }
+
   void touch(Group& g) {
-    if (!g.dirty) dirty.push_back(&g);
-    g.dirty = true;
+    if (!std::exchange(g.dirty, true)) dirty.push_back(&g);
   }
 
   void activate(Member& m) {
-    if (!m.active) active.push_back(&m);
-    m.active = true;
+    if (!std::exchange(m.active, true)) active.push_back(&m);
   }
 
   // ---- facts -------------------------------------------------------------------------------------------
@@ -233,8 +226,8 @@
     touch(groups[m.group]);
   }
 
-  // Reports are renewed now and then and come late. Learned from those of a member that keeps up, the spacing
-  // and the least lateness tell when the next can be had: a probe before that brings nothing new.
+  // Reports are renewed now and then and come late: how, is learned while a member keeps up. A probe before
+  // the next one is due brings nothing new.
   void cadence(Member& m, Micros position) {
     if (position == m.reported) return;
     if (m.reported != kNone && position > m.reported && now - position < halfBound * 4) {
@@ -249,6 +242,7 @@
   }
 
   void absorb(Member& m, const Report& report) {
+    if (report.held) m.crowdedAt = *report.held > kCrowd ? now : kNone;
     if (report.position) {
       cadence(m, *report.position);
       stand(m, std::min(*report.position - kUnit, now));  // rounded figures: be strict
@@ -295,7 +289,7 @@
         m.order = coin(0, m.id);
         m.avg.assign(set.classes.size(), 0.0);
         m.probeGap = quiet;
-        m.limit = std::max(1.0, kFirstTotal / std::max(1, set.routers));
+        m.limit = firstLimit();
         groups[e.group].members.push_back(&m);
         if (set.listRole != ListRole::Off && e.primary)
           m.role = Role::Primary;  // a hint, older than any claim
@@ -313,8 +307,7 @@
     prune();
   }
 
-  // Members that have long gone are forgotten: where new ones replace old ones all day, every choice would
-  // look through all there ever were. One that is still watched or awaited stays.
+  // Those that have long gone are forgotten, or every choice looks through all there ever were.
   void prune() {
     for (auto it = members.begin(); it != members.end();) {
       Member& m = it->second;
@@ -326,13 +319,8 @@
   }
 
   void condition(Member& m, Condition c) {
-    if (c == Condition::Draining) m.sawDraining = true;
-    if (c == Condition::Ready) {
-      m.toldAt = kNone;
-      m.sawDraining = false;
-    } else if (m.toldAt == kNone) {
-      m.toldAt = now;
-    }
+    m.sawDraining = c == Condition::Draining || (c != Condition::Ready && m.sawDraining);
+    m.toldAt = c == Condition::Ready ? kNone : m.toldAt == kNone ? now : m.toldAt;
     m.condition = c;
     touch(groups[m.group]);
   }
@@ -368,10 +356,9 @@
     return static_cast<double>((x ^ (x >> 31)) >> 11) * 0x1p-53;
   }
 
-  // The cold-host budget, kept in this one place. A cold member is open to a fraction of all requests: what
-  // would be its part of them were it warm, times its present share of its capacity. Fractions add up right
-  // over any number of routers, where "one at least" does not; the fraction falls as more comes in than used
-  // to be done. Each request tries a cold member once; no heavy one goes there: a few are a window's budget.
+  // The cold-host budget, kept in this one place. A cold member is open to a fraction of all requests: its
+  // part of them were it warm, times its share of its capacity. Fractions add up over any number of routers;
+  // they fall as more comes in than used to be done. Each request tries a cold member once, a heavy one none.
   bool coldRoom(Group& g, const Member& m, const Open& o) {
     double share = coldPart(m), mine = work[o.r.cls];
     if (share >= 1) return true;
@@ -392,12 +379,15 @@
     return coin(o.r.id, m.id) < most;
   }
 
-  // The member's limit follows its latency. Many routers may share a small member, so it may fall under one
-  // attempt: then the next waits a while after the last.
+  // The limit follows the member's latency. Under one attempt, the next waits a while after the last.
   bool room(Group& g, Member& m, const Open& o) {
-    std::size_t c = o.r.cls;
     if (now < m.asideUntil || static_cast<double>(m.flying.size()) >= m.limit) return false;
-    if (m.limit < 1 && us(now - m.sentAt) < average(m, c) / m.limit) return false;
+    // What one of hundreds of routers has out there says nothing of what it holds: asked, it tells.
+    if (now - m.crowdedAt < forget) {
+      if (now - m.lastProbe > quiet * 4) probe(m);
+      return false;
+    }
+    if (m.limit < 1 && us(now - m.sentAt) < average(m, o.r.cls) / m.limit) return false;
     return coldRoom(g, m, o);
   }
 
@@ -430,8 +420,7 @@
     return std::max(1.0, faded);
   }
 
-  // cost1 of the design page over this router's own attempts in flight at the member; a class never seen
-  // there is seeded with its aim.
+  // cost1 of the design page over own attempts in flight; a class never seen there is seeded with its aim.
   mutable std::vector<double> seeds;
   double cost1(const Member& m, std::size_t c) const {
     auto seeded = [&](std::size_t k) { return seen[k] ? average(m, k) : us(set.classes[k].aim); };
@@ -491,45 +480,29 @@
   void finish(Open& o) {
     RequestId id = o.r.id;
     // Spread, lest all that were refused in one trouble come back as one.
-    Micros after = std::min(set.maxRetryAfter, part(cls(o).aim, 0.25 + 0.5 * coin(id, ~1u)));
-    if (!set.retryAfter) after = Micros(0);
+    Micros most = set.retryAfter ? set.maxRetryAfter : Micros(0);
+    Micros after = std::min(most, part(cls(o).aim, 0.25 + 0.5 * coin(id, ~1u)));
     out.push_back(mayRefuse(o) ? Action(Refuse{id, after}) : Action(Fail{id}));
     open.erase(id);
   }
 
-  // True where the request can no longer be worth anything, or where waiting on would cost more than it may
-  // bring: a client kept for over half its time, while no member has had its request, has lost the time to
-  // ask again as well. A write that waits for room at a known primary will have it, and is worth something
-  // late.
-  bool hopeless(Group& g, const Open& o) {
+  // True where the request can no longer be worth anything, or where waiting would cost more than it brings:
+  // a client kept for over half its time, while no member has had its request, can hardly ask again. A write
+  // that waits for a known primary is worth something late: it waits where the `ahead` leave room for it.
+  bool hopeless(Group& g, const Open& o, double ahead) {
     const auto& c = cls(o);
     bool reached = std::any_of(o.attempts.begin(), o.attempts.end(), [](auto& a) { return a.reached; });
-    bool soon = reached || (c.lateShare > 0 && needsPrimary(o) && primary(g));
+    Member* lead = c.lateShare > 0 && needsPrimary(o) ? primary(g) : nullptr;
+    double turns = lead ? us(o.r.expires - now) * lead->limit / average(*lead, o.r.cls) : 0;
+    bool soon = reached || turns > kSurely * (ahead + 1);
     if (!soon && now + tick >= o.arrived + (o.r.expires - o.arrived) / 2) return true;
-    Micros until = o.r.expires;
-    if (c.lateShare <= 0) until = std::min(until, o.useful);
+    Micros until = c.lateShare > 0 ? o.r.expires : o.useful;
     double fit = now == o.arrived ? kFitAtOnce : kFit;
     return now + micros(fit * work[o.r.cls]) >= until || !maySend(o);
   }
 
-  // Overload: where few of the attempts are answered in time, sending more makes fewer so, since members
-  // work on what nobody awaits any more. As many are refused at once as keep the rest in time. One of many
-  // routers sees little of a group: without evidence from there it refuses nobody.
-  bool shed(const Group& g, const Open& o) const {
-    double share = (g.inTime.total(now) + kFewAttempts) / (g.asked.total(now) + kFewAttempts);
-    return o.attempts.empty() && coin(o.r.id, ~0u) > kShedAt * share;
-  }
-
-  void ended(Group& g, bool good) {
-    for (auto* r : {&g.asked, &g.inTime}) {
-      r->span = smallestAim * kShedTime;
-      r->add(now, r == &g.asked || good ? 1 : 0);
-    }
-  }
-
-  // The least cost1. Costs that differ by less than what chance does to them are equal: then a member of the
-  // same zone goes first, and the rest is each router's own order, lest hundreds with the same knowledge
-  // choose alike.
+  // The least cost1. Costs that differ by no more than chance are equal: then the same zone goes first, then
+  // each router's own order, lest hundreds with the same knowledge choose alike.
   Member* cheapest(const std::vector<std::pair<double, Member*>>& ranked) const {
     Member* best = nullptr;
     double least = 1e300;
@@ -619,28 +592,31 @@
     return best;
   }
 
-  double density(const Open& o) const { return cls(o).worth / work[o.r.cls]; }
+  // Worth for its work: less where so little time is left that it may well come late.
+  double density(const Open& o) const {
+    double ease = us(o.useful - now) / (kEase * work[o.r.cls]);
+    return cls(o).worth * std::clamp(ease, 0.0, 1.0) / work[o.r.cls];
+  }
 
   void decide(Group& g) {
     g.dirty = false;
     auto held = std::move(g.held);
     g.held.clear();
     std::vector<Open*> wait;
+    double writes = 0;
     for (auto id : held) {
       auto it = open.find(id);
       if (it == open.end()) continue;
-      bool first = !std::exchange(it->second.decided, true);
-      if (hopeless(g, it->second) || (first && shed(g, it->second)))
+      if (hopeless(g, it->second, writes)) {
         finish(it->second);
-      else
+      } else {
         wait.push_back(&it->second);
+        writes += needsPrimary(it->second);
+      }
     }
-    // What can still be in time goes first, then what is worth more for its work, then the older.
+    // What is worth more for its work goes first, then the older; what is late goes last.
     std::stable_sort(wait.begin(), wait.end(), [&](Open* a, Open* b) {
-      bool lateA = now >= a->useful, lateB = now >= b->useful;
-      if (lateA != lateB) return lateB;
-      double da = density(*a), db = density(*b);
-      return da != db ? da > db : a->arrived < b->arrived;
+      return std::pair(-density(*a), a->arrived) < std::pair(-density(*b), b->arrived);
     });
     bool seekRole = false, seekPosition = false;
     for (auto* o : wait) {
@@ -655,9 +631,7 @@
     if (seekRole && !primary(g)) seek(g);
     if (seekPosition) refresh(g);
     if (!wait.empty()) askSilent(g);
-    if (g.held.empty() || g.waits) return;
-    g.waits = true;
-    waiting.push_back(&g);
+    if (!g.held.empty() && !std::exchange(g.waits, true)) waiting.push_back(&g);
   }
 
   void probe(Member& m) {
@@ -676,29 +650,27 @@
       if (mayUse(*m, true) && (m->muteAt == kNone || now - m->lastProbe > m->probeGap)) probe(*m);
   }
 
-  // Held reads wait for positions: ask the replicas that could free them, each when its next report is due,
-  // the one of least cost first.
+  // Held reads wait for positions: ask replicas that are too old for one, cheapest first, each when due.
   void refresh(Group& g) {
     Member* lead = primary(g);
     Member* best = nullptr;
-    Micros soonest = kNone, easiest = now;  // the least position that would free a held read
-    for (auto id : g.held)
-      if (!needsPrimary(open.at(id))) easiest = std::min(easiest, needed(open.at(id)));
+    Micros soonest = wakeAt, easiest = now, hardest = kNone;  // positions that would free one read, and all
+    for (auto id : g.held) {
+      Micros need = needsPrimary(open.at(id)) ? kNone : needed(open.at(id));
+      if (need != kNone) easiest = std::min(easiest, need), hardest = std::max(hardest, need);
+    }
     for (auto* m : g.members) {
-      if (m == lead || m->muteAt != kNone || !mayUse(*m, false)) continue;
+      if (m == lead || m->muteAt != kNone || !mayUse(*m, false) || fresh(*m, hardest)) continue;
       if (m->probeAt != kNone) return;
       Micros due = std::max(reportDue(*m), m->lastProbe + std::min(quiet, halfBound / 2) / 2);
       if (m->position != kNone) due = std::max(due, m->lastProbe + part(easiest - m->position, 1 / kCatchUp));
-      if (due > now) {
-        soonest = soonest == kNone ? due : std::min(soonest, due);
-      } else if (!best || cost1(*m, 0) < cost1(*best, 0)) {
+      if (due > now)
+        soonest = std::min(soonest, due);
+      else if (!best || cost1(*m, 0) < cost1(*best, 0))
         best = m;
-      }
     }
-    if (best)
-      probe(*best);
-    else if (soonest != kNone)
-      wakeAt = std::min(wakeAt, soonest);
+    if (best) return probe(*best);
+    wakeAt = soonest;
   }
 
   // ---- outcomes ----------------------------------------------------------------------------------------
@@ -735,8 +707,6 @@
       }
       bool hurried = it != open.end() && outOfTime(m, it->second, *flight, e);
       if (!hurried && !lostInSilence(m, *flight, e)) judge(m, *flight, e);
-      if (!hurried && (e.status == Status::Success || e.status == Status::TimedOut))
-        ended(g, e.status == Status::Success && it != open.end() && now <= it->second.useful);
       if (it != open.end() && !hurried && (e.status == Status::Success || lostInSilence(m, *flight, e)))
         countVanished(it->second, e);
       if (it != open.end()) blame(m, it->second, e);
@@ -773,9 +743,8 @@
     if (o.need != kNone) stand(m, o.need);
   }
 
-  // Latency that stays high with hardly anything in flight does not come of crowding (a write may wait for a
-  // lagging replica): a limit that fell further would only make requests wait here, and recover late.
-  // Reads have other members to go to.
+  // Latency that stays high with hardly anything in flight is no crowding (a write may wait for a replica): a
+  // limit that fell further would make requests wait here. Reads have other members to go to.
   double leastLimit(const Member& m) const {
     double share = m.role == Role::Primary ? kLeastTotal / std::max(1, set.routers) : 0;
     return std::max(kLeastLimit, share);
@@ -785,6 +754,7 @@
     const auto& c = set.classes[f.cls];
     double took = us(e.taken.count() > 0 ? e.taken : now - f.sentAt);  // this router may have stood still
     bool slow = e.status == Status::TimedOut || e.status == Status::Overloaded;
+    if (set.probes && set.reportHeld && (slow || took > us(c.aim))) m.crowdedAt = now;
     if (e.status == Status::Success || e.status == Status::TimedOut) {
       double& avg = m.avg[f.cls];
       if (e.status == Status::Success) {
@@ -799,8 +769,7 @@
       m.strain += kRecent * (took / std::max(1.0, average(m, f.cls)) - m.strain);
       m.strainAt = now;
     }
-    // The limit follows the smoothed latency, in aims: single long requests do not shake it, crowding does. A
-    // crowded replica also applies the log more slowly, so this keeps it fresh as well.
+    // The limit follows the smoothed latency, in aims: single long requests do not shake it, crowding does.
     if (e.status == Status::Success || slow) {
       m.pressure +=
           kRecent * ((e.status == Status::Overloaded ? 1 : std::min(2.0, took / us(c.aim))) - m.pressure);
@@ -810,8 +779,7 @@
     }
   }
 
-  // An error counts against its member only once the same request has gone well at another: what fails alike
-  // everywhere ejects nobody. A broken connection is the member's own.
+  // An error counts once the same request has gone well elsewhere; a broken connection is the member's own.
   void blame(Member& m, const Open& o, const Outcome& e) {
     if (e.status == Status::Broken) charge(m);
     if (e.status != Status::Success) return;
@@ -844,9 +812,8 @@
 
   // ---- timers ------------------------------------------------------------------------------------------
 
-  // Silence is judged by probes: a member whose answer is overdue is asked, and one that does not even answer
-  // that gets nothing new until something is heard of it. How long a probe may take is learned from the last
-  // ones: over a slow way all of them take long.
+  // Silence is judged by probes: a member whose answer is overdue is asked, and one that is silent even then
+  // gets nothing new until it is heard of. How long a probe may take is learned: a slow way slows them all.
   void watch(Member& m) {
     if (m.probeAt != kNone) {
       if (now - m.probeAt > std::max(quiet, micros(4 * m.probeTook))) mute(m);
@@ -874,9 +841,8 @@
     }
   }
 
-  // A member may be well and yet one connection to it silent: no probe tells. Once such losses are seen here,
-  // an attempt is called back at the last moment at which another can be in time. Without them it is left
-  // alone: what takes long there would mostly take long again.
+  // A member may be well and one connection to it silent: no probe tells. Once such losses are seen, an
+  // attempt is called back when another can just be in time; else what takes long would take long again.
   void callBack(Member& m) {
     if (!set.cancel || vanished < kVanished) return;
     for (auto& f : m.flying) {
@@ -896,14 +862,12 @@
     }
   }
 
-  // Timed out because its client waits less than such a request usually takes: that says nothing of load.
-  // Taken for overload, it had a third of all requests shed while every member was idle.
+  // Timed out because its client waits less than such a request takes: that says nothing of load.
   bool outOfTime(const Member& m, const Open& o, const Flight& f, const Outcome& e) const {
     return e.status == Status::TimedOut && us(o.r.expires - o.arrived) < kOverdue * average(m, f.cls);
   }
 
-  // Timed out at a member that was quick for others meanwhile: the connection's loss, which says nothing of
-  // the member.
+  // Timed out at a member that was quick for others meanwhile: the connection's loss, not the member's.
   bool lostInSilence(const Member& m, const Flight& f, const Outcome& e) const {
     return e.status == Status::TimedOut && us(now - f.sentAt) > kSurelyLate * average(m, f.cls) &&
            load(m) < kOverdue && m.heardAt > f.sentAt + (now - f.sentAt) / 2;
@@ -970,14 +934,14 @@
   }
 
   void absorb(const ClientGone& e) { open.erase(e.id); }
-  void absorb(const StreamStarted&) {}
-  void absorb(const PeerMessage&) {}
+  template <class Ignored>
+  void absorb(const Ignored&) {}
   void absorb(const TimerFired& e) {
     for (auto* g : std::exchange(waiting, {})) {
       g->waits = false;
       touch(*g);
     }
-    ticked = ticked || e.key == kTick;
+    if (e.key == kTick) ticked = true, timerSet = false;
   }
 
   std::vector<Action> handle(Micros at, const std::vector<Event>& events) {
@@ -987,22 +951,13 @@
     out.clear();
     ticked = false;
     for (auto& event : events) std::visit([this](auto& e) { absorb(e); }, event);
-    if (ticked) {
-      timerSet = false;
-      watchActive();
-    }
+    if (ticked) watchActive();
     wakeAt = now + tick;
     for (std::size_t i = 0; i < dirty.size(); ++i) decide(*dirty[i]);
     dirty.clear();
-    if (set.askDiscovery && !subscribed) {
-      out.push_back(Subscribe{});
-      subscribed = true;
-    }
-    if (!timerSet && (!open.empty() || !active.empty())) {
-      out.push_back(SetTimer{kTick, tick});
-      tickAt = now + tick;
-      timerSet = true;
-    }
+    if (set.askDiscovery && !std::exchange(subscribed, true)) out.push_back(Subscribe{});
+    if ((!open.empty() || !active.empty()) && !std::exchange(timerSet, true))
+      out.push_back(SetTimer{kTick, tick}), tickAt = now + tick;
     if (wakeAt < now + tick && (wakeSet <= now || wakeAt < wakeSet)) {
       out.push_back(SetTimer{kWake, std::max(wakeAt - now, set.step)});
       wakeSet = wakeAt;
--- a/src/module/settings.cpp
+++ b/src/module/settings.cpp
@@ -126,6 +126,7 @@
   for (auto field : splitAt(text("Report.Fields"), ',')) {
     if (field == "x0") s.reportPosition = true;
     if (field == "x1") s.reportRole = true;
+    if (field == "rif" || field == "inflight") s.reportHeld = true;
   }
   s.reports = oneOf<ReportMode>(
       "Report.How", text("Report.How", "off"),
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -112,6 +112,7 @@
     if (name == "x0" && *value > 0 && *value < 9e9) report.position = clock_.known_seconds(*value);
     if (name == "x1") report.primary = *value == 1;
     if (name == "util" || name == "busy") report.busy = *value;
+    if (name == "rif" || name == "inflight") report.held = *value;
   }
   return report;
 }
