Test that the run line starts one process with nothing optional on

The test takes `run` from deploy/balancer.toml, starts it with a plain configuration and looks at it from outside: no child, main's and the log's thread only, one listener and connections to discovery alone, no file of its own, nothing left in its TMPDIR. Seen on the way: descriptors that the caller of the tests had open were taken for the program's; the child closes them now.

--- /dev/null
+++ b/tests/lab/run_line_test.cpp
@@ -0,0 +1,142 @@
+// The `run` line of deploy/balancer.toml with a plain configuration: whatever subsystems the program has,
+// there it is one process with today's threads and sockets and no file of its own. Fails where an optional
+// one is on by default.
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+
+#include "lab/daemon.h"
+#include "lab/stand_in.h"
+#include "net/rig.h"
+
+namespace linenwinch::lab {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string whole(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// Main and the log's; the thread sanitizer has one of its own.
+#if defined(__SANITIZE_THREAD__)
+constexpr std::size_t kThreads = 3;
+#else
+constexpr std::size_t kThreads = 2;
+#endif
+
+struct Started {
+  pid_t pid = -1;
+  ~Started() {
+    if (pid <= 0) return;
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+  }
+};
+
+// "0100007F:1F90" is 127.0.0.1:8080.
+std::string address_of(const std::string& hex) {
+  unsigned ip = 0, port = 0;
+  REQUIRE(sscanf(hex.c_str(), "%8X:%4X", &ip, &port) == 2);
+  return fmt::format("{}.{}.{}.{}:{}", ip & 255, ip >> 8 & 255, ip >> 16 & 255, ip >> 24, port);
+}
+
+}  // namespace
+
+TEST_CASE("run line: one process, today's threads, only the sockets that DEPLOY names, no file of its own") {
+  StandIn stand_in(StandInOptions{});
+  auto pattern = (fs::temp_directory_path() / "linenwinch-XXXXXX").string();
+  REQUIRE(mkdtemp(pattern.data()));
+  fs::path folder(pattern), scratch = folder / "tmp", log = folder / "log";
+  fs::create_directory(scratch);
+  std::smatch found;
+  auto deploy = whole(fs::path(LINENWINCH_ROOT) / "deploy/balancer.toml");
+  REQUIRE(std::regex_search(deploy, found, std::regex("(?:^|\n)run *= *\"([^\"]*)\"")));
+  auto run = std::regex_replace(found[1].str(), std::regex("build/"),
+                                fs::path(LINENWINCH_PROGRAM).parent_path().string() + "/");
+  nlohmann::json config = {{"name", "n1"},
+                           {"listen", "127.0.0.1:0"},
+                           {"discovery", stand_in.discovery()},
+                           {"seed", "1"},
+                           {"limits", {{"sockets", 1024}, {"memory_mb", 64}}},
+                           {"known", stand_in.members()},
+                           {"settings", lab_settings()}};
+  std::ofstream(folder / "config.json") << config.dump();
+  std::ofstream(log) << "";
+  Started started;
+  started.pid = fork();
+  REQUIRE(started.pid >= 0);
+  if (started.pid == 0) {
+    int null = open("/dev/null", O_RDONLY | O_CLOEXEC),
+        out = open(log.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    dup2(null, 0);
+    dup2(out, 1);
+    dup2(out, 2);
+    closefrom(3);  // what the caller of the tests has open is not the program's
+    setenv("NODE_CONFIG", (folder / "config.json").c_str(), 1);
+    setenv("TMPDIR", scratch.c_str(), 1);
+    if (chdir(LINENWINCH_ROOT) == 0) execl("/bin/sh", "sh", "-c", run.c_str(), nullptr);
+    _exit(127);
+  }
+  REQUIRE(test::soon([&] { return whole(log).find("ready to serve") != std::string::npos; }));
+  auto process = fs::path("/proc") / std::to_string(started.pid);
+  INFO(run << "\n" << whole(log));
+  CHECK(whole(process / "comm") == "linenwinch\n");
+  std::size_t threads = 0;
+  for ([[maybe_unused]] auto& task : fs::directory_iterator(process / "task")) ++threads;
+  CHECK(threads == kThreads);
+  for (auto& other : fs::directory_iterator("/proc")) {
+    auto name = other.path().filename().string();
+    if (name.find_first_not_of("0123456789") != std::string::npos) continue;
+    auto stat = whole(other.path() / "stat");
+    auto name_end = stat.rfind(')');
+    int parent = 0;
+    char state = 0;
+    if (name_end != std::string::npos && sscanf(stat.c_str() + name_end + 1, " %c %d", &state, &parent) == 2)
+      CHECK(parent != started.pid);
+  }
+  std::map<std::string, std::pair<std::string, std::string>> sockets;  // by inode: both ends
+  for (std::string kind : {"tcp"}) {
+    std::ifstream table(process / "net" / kind);
+    for (std::string line; std::getline(table, line);) {
+      char here[64], there[64], inode[32];
+      if (sscanf(line.c_str(), " %*d: %63s %63s %*s %*s %*s %*s %*s %*s %31s", here, there, inode) == 3)
+        sockets[inode] = {address_of(here), address_of(there)};
+    }
+  }
+  std::size_t listening = 0;
+  for (auto& entry : fs::directory_iterator(process / "fd")) {
+    std::error_code gone;
+    auto to = fs::read_symlink(entry.path(), gone).string();
+    if (gone) continue;  // a connection that has just ended
+    if (to.rfind("anon_inode:", 0) == 0 || to == "/dev/null" || to == log.string()) continue;
+    INFO(to);
+    REQUIRE(to.rfind("socket:[", 0) == 0);
+    auto it = sockets.find(to.substr(8, to.size() - 9));
+    REQUIRE(it != sockets.end());
+    auto& [here, there] = it->second;
+    INFO(here << " to " << there);
+    if (there == "0.0.0.0:0")
+      ++listening;
+    else
+      CHECK(there == stand_in.discovery());
+  }
+  CHECK(listening == 1);
+  kill(started.pid, SIGTERM);
+  int status = 0;
+  waitpid(std::exchange(started.pid, -1), &status, 0);
+  CHECK(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 0);
+  CHECK(fs::is_empty(scratch));
+  fs::remove_all(folder);
+}
+
+}  // namespace linenwinch::lab
