Use a member again whose report does not say how much it holds

A member that was late or full is left alone until its report says that it holds 32 at most; the test's replica reports no such figure though the settings name it, and was left alone for good. Ruled out: the test itself, which is as before; connections (it was probed and answered).

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -903,6 +903,7 @@
     if (!e.ok) return mute(m);
     m.probeTook = std::max(us(e.taken), m.probeTook + 0.2 * (us(e.taken) - m.probeTook));
     heard(m);
+    if (!e.report.held) m.crowdedAt = kNone;  // its report does not say
     absorb(m, e.report);
   }
 
