--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -9,9 +9,12 @@
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <stdexcept>
 
 #include "app/config.h"
+#include "app/fleet.h"
+#include "app/group_runner.h"
 #include "app/logger.h"
 #include "app/operator_file.h"
 #include "net/socket.h"
@@ -147,22 +150,38 @@
                     told.operator_path, told.own.congestion));
   if (told.own.workers.count > 1) return serve_with_workers(told, logger, log);
   net::Loop loop;
+  std::optional<GroupRunner> group;
   routing::Facade facade(config.settings, config.seed, routing::UnixClock::measured(),
                          [&](const std::string& text) { log(net::Level::kInfo, "decisions: " + text); });
   auto options = options_of(config);
   routing::LocalDecider decider(facade);
+  options.watches = !told.own.group;
   proxy::Proxy proxy(loop, decider, options, log);
+  if (told.own.group) group.emplace(loop, proxy, *told.own.group, options, config.seed, logger.sink("group"));
   Signals signals(
-      loop, [&] { proxy.shut_down(); },
-      [&] { reload(told, logger, log, [&](auto& read, auto&) { proxy.reconfigure(read); }); });
+      loop,
+      [&] {
+        if (group) group->leave();
+        proxy.shut_down();
+      },
+      [&] {
+        reload(told, logger, log, [&](auto& read, auto& own) {
+          proxy.reconfigure(read);
+          if (group && own.group) group->reconfigure(read.discovery, own.group->nodes);
+        });
+      });
   log(net::Level::kInfo, listens(config, proxy.port(), options.descriptors));
+  if (group) group->start();
   proxy.run();
+  group.reset();
   return 0;
 }
 
 }  // namespace
 
 int run_command_line(int argc, char** argv) try {
+  if (argc > 1 && std::string_view(argv[1]) == "fleet")
+    return run_fleet(std::vector<std::string>(argv + 2, argv + argc));
   po::options_description options("Options");
   options.add_options()("help,h", "show this text")("config,c", po::value<std::string>(),
                                                     "configuration file (else NODE_CONFIG names it)")(
@@ -183,6 +202,7 @@
                  "  serve     run the proxy\n"
                  "  check     read the configuration and the operator's file, say whether they are good, and "
                  "leave\n"
+                 "  fleet     status and changes of the group of daemons (linenwinch fleet help)\n"
                  "  version   print the version\n\n"
               << options;
     return 0;
--- /dev/null
+++ b/src/app/fleet.cpp
@@ -0,0 +1,218 @@
+#include "app/fleet.h"
+
+#include <fmt/format.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/program_options.hpp>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <iostream>
+#include <stdexcept>
+#include <thread>
+
+#include "app/operator_file.h"
+#include "net/socket.h"
+#include "peers/codec.h"
+
+namespace linenwinch::app {
+namespace {
+
+namespace po = boost::program_options;
+using nlohmann::json;
+
+constexpr const char* kConsequence = "what only the lost nodes knew is gone";
+// A new member is given the whole state before it votes; one whose disk is slow takes a while.
+constexpr int kPromoteTries = 150, kPromotePauseMs = 200;
+
+constexpr const char* kHelp =
+    "linenwinch fleet COMMAND [argument] --operator FILE [--node ADDRESS] [--json]\n\n"
+    "  status            what the node knows: role, leader, term, what it holds\n"
+    "  members           who votes, how far each is, when it was heard of (ask the leader)\n"
+    "  owners            which job is whose, with its fencing token\n"
+    "  transfer [NODE]   hand leadership to that node, or to whoever is furthest on\n"
+    "  step-down         the leader hands over and goes on as a follower\n"
+    "  init              make the group of the voters in the operator's file; all must be up and new\n"
+    "  add NODE          take a voter in, once it has caught up\n"
+    "  remove NODE       take a voter out (--id where a name was used again)\n"
+    "  recover           this node goes on as the only voter; demands --consequence, spelled out\n"
+    "  put KEY VALUE     keep a setting in the group; get KEY reads it from the confirmed leader\n";
+
+void print(const json& j, bool as_json) {
+  if (as_json) {
+    std::cout << j.dump(1) << "\n";
+    return;
+  }
+  auto one = [](const json& v) { return v.is_string() ? v.get<std::string>() : v.dump(); };
+  auto table = [&](const json& rows) {
+    for (auto& row : rows) {
+      std::string line;
+      for (auto& [key, value] : row.items())
+        line += fmt::format("{}{}={}", line.empty() ? "" : "  ", key, one(value));
+      std::cout << line << "\n";
+    }
+  };
+  for (auto& [key, value] : j.items()) {
+    if (key == "t" || key == "ok" || key == "node" || key == "via") continue;
+    if (key == "status")
+      for (auto& [k, v] : value.items()) std::cout << fmt::format("{:16} {}\n", k, one(v));
+    else if (value.is_array())
+      table(value);
+    else if (!(value.is_string() && value.get<std::string>().empty()))
+      std::cout << fmt::format("{:16} {}\n", key, one(value));
+  }
+}
+
+}  // namespace
+
+FleetCall::FleetCall(const std::string& address, const std::string& installation, int patience_ms)
+    : address_(address) {
+  auto to = net::parse_address(address);
+  if (!to) throw std::runtime_error(fmt::format("'{}' is no address", address));
+  fd_ = socket(to->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  timeval patience{patience_ms / 1000, patience_ms % 1000 * 1000};
+  setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
+  try {
+    if (connect(fd_, reinterpret_cast<sockaddr*>(&to->storage), to->length) != 0)
+      throw std::runtime_error(fmt::format("{}: {}", address, std::strerror(errno)));
+    auto answer = ask({{"t", "hello"},
+                       {"v", peers::kVersion},
+                       {"least", peers::kLeastVersion},
+                       {"installation", installation},
+                       {"name", "fleet"},
+                       {"id", 0},
+                       {"kind", "tool"}});
+    if (answer.value("t", "") != "welcome")
+      throw std::runtime_error(fmt::format("{}: {}", address, answer.value("why", "no welcome")));
+  } catch (...) {
+    close(fd_);
+    throw;
+  }
+}
+
+FleetCall::~FleetCall() { close(fd_); }
+
+json FleetCall::ask(json request) {
+  if (!request.contains("t")) request["t"] = "tool";
+  auto text = peers::frame(request);
+  for (std::size_t at = 0; at < text.size();) {
+    auto n = send(fd_, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+    if (n <= 0) throw std::runtime_error(fmt::format("{}: the connection broke", address_));
+    at += static_cast<std::size_t>(n);
+  }
+  return next();
+}
+
+json FleetCall::next() {
+  while (true) {
+    json message;
+    std::size_t size = 0;
+    auto parse = peers::parse_frame(in_, &message, &size);
+    if (parse == peers::FrameParse::kBad) throw std::runtime_error(fmt::format("{}: no message", address_));
+    if (parse == peers::FrameParse::kOk) {
+      in_.erase(0, size);
+      auto t = message.value("t", "");
+      if (t == "answer" || t == "welcome" || t == "no") return message;
+      continue;
+    }
+    char chunk[16384];
+    auto n = recv(fd_, chunk, sizeof chunk, 0);
+    if (n == 0) throw std::runtime_error(fmt::format("{}: the connection ended", address_));
+    if (n < 0) throw std::runtime_error(fmt::format("{}: no answer in time", address_));
+    in_.append(chunk, static_cast<std::size_t>(n));
+  }
+}
+
+int run_fleet(const std::vector<std::string>& arguments) {
+  po::options_description options("Options");
+  options.add_options()("operator,o", po::value<std::string>()->default_value(""), "the operator's file")(
+      "node", po::value<std::string>()->default_value(""), "ask this address (else the file's own listen)")(
+      "json", "print the answer as JSON")("id", po::value<std::uint64_t>()->default_value(0),
+                                          "remove: by id")(
+      "consequence", po::value<std::string>()->default_value(""), "recover: what it costs, spelled out")(
+      "help,h", "this text");
+  po::options_description hidden;
+  hidden.add_options()("words", po::value<std::vector<std::string>>());
+  po::options_description all;
+  all.add(options).add(hidden);
+  po::positional_options_description positions;
+  positions.add("words", -1);
+  po::variables_map given;
+  po::store(po::command_line_parser(arguments).options(all).positional(positions).run(), given);
+  po::notify(given);
+  std::vector<std::string> words;
+  if (given.count("words")) words = given["words"].as<std::vector<std::string>>();
+  if (words.empty() || words[0] == "help" || given.count("help")) {
+    std::cout << kHelp << "\n" << options;
+    return 0;
+  }
+  auto path = given["operator"].as<std::string>();
+  if (path.empty()) throw std::runtime_error("fleet: give --operator FILE, which names the group");
+  auto file = read_operator_file(path);
+  if (!file.group) throw std::runtime_error(fmt::format("operator's file {}: it has no section group", path));
+  auto& group = *file.group;
+  auto node = given["node"].as<std::string>();
+  if (node.empty()) node = group.listen.empty() ? group.nodes[0].address : group.listen;
+  auto what = words[0];
+  auto word = [&](std::size_t i, const char* name) {
+    if (words.size() <= i) throw std::runtime_error(fmt::format("fleet {}: {} is missing", what, name));
+    return words[i];
+  };
+  bool as_json = given.count("json") > 0;
+
+  if (what == "init") {
+    std::vector<std::uint64_t> ids;
+    for (auto& n : group.nodes) {
+      auto answer = FleetCall(n.address, group.installation).ask({{"do", "identify"}});
+      if (answer.value("name", "") != n.name)
+        throw std::runtime_error(
+            fmt::format("fleet init: {} is {}, not {}", n.address, answer.value("name", "?"), n.name));
+      ids.push_back(answer.at("id").get<std::uint64_t>());
+    }
+    for (auto& n : group.nodes) {
+      auto answer = FleetCall(n.address, group.installation).ask({{"do", "bootstrap"}, {"voters", ids}});
+      if (!answer.value("ok", false))
+        throw std::runtime_error(fmt::format("fleet init: {}: {}", n.name, answer.value("why", "?")));
+    }
+    std::cout << fmt::format("the group of {} voters has begun\n", ids.size());
+    return 0;
+  }
+
+  FleetCall call(node, group.installation);
+  json request = {{"do", what}};
+  if (what == "transfer") {
+    if (words.size() > 1) request["name"] = words[1];
+  } else if (what == "add" || what == "remove") {
+    request["name"] = word(1, "NODE");
+    if (auto id = given["id"].as<std::uint64_t>()) request["id"] = id;
+  } else if (what == "put") {
+    request["key"] = word(1, "KEY");
+    request["value"] = word(2, "VALUE");
+  } else if (what == "get") {
+    request["key"] = word(1, "KEY");
+  } else if (what == "recover") {
+    request["consequence"] = given["consequence"].as<std::string>();
+    if (request["consequence"] != kConsequence)
+      throw std::runtime_error(fmt::format("fleet recover: demands --consequence \"{}\"", kConsequence));
+  } else if (what != "status" && what != "members" && what != "owners" && what != "step-down") {
+    throw std::runtime_error(fmt::format("fleet: unknown command '{}'; see linenwinch fleet help", what));
+  }
+  auto answer = call.ask(request);
+  if (what == "add" && answer.value("ok", false)) {
+    request["do"] = "promote";
+    for (int i = 0; i < kPromoteTries; ++i) {
+      answer = call.ask(request);
+      if (answer.value("ok", false)) break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(kPromotePauseMs));
+    }
+  }
+  if (!answer.value("ok", false))
+    throw std::runtime_error(fmt::format("fleet {}: {}", what, answer.value("why", "refused")));
+  print(answer, as_json);
+  return 0;
+}
+
+}  // namespace linenwinch::app
--- /dev/null
+++ b/src/app/group_runner.cpp
@@ -0,0 +1,69 @@
+#include "app/group_runner.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace linenwinch::app {
+namespace {
+
+// Beside what the configuration allows the proxy: links to hundreds of followers, the store, probes.
+constexpr rlim_t kGroupDescriptors = 2048;
+
+// The owner's probes go over connections of their own, in the group's thread.
+class PoolProber : public group::Prober, private proxy::ServerEvents {
+ public:
+  PoolProber(net::Loop& loop, proxy::PoolLimits limits, net::Log log, group::Probed probed)
+      : probed_(std::move(probed)), pool_(loop, limits, *this, std::move(log)) {}
+  void servers(const discovery::MemberUpdate& list) override { pool_.update(list); }
+  void probe(const std::string& server) override { pool_.probe(server); }
+  void sweep() override { pool_.sweep(); }
+
+ private:
+  void attempt_ended(proxy::AttemptEnd) override {}
+  void probe_ended(routing::ProbeResult r) override { probed_(r.server, r.ok, r.taken, r.load); }
+  proxy::ClientPort* client_of(routing::RequestId) override { return nullptr; }
+
+  group::Probed probed_;
+  proxy::ServerPool pool_;
+};
+
+}  // namespace
+
+GroupRunner::GroupRunner(net::Loop& loop, proxy::Proxy& proxy, group::Options options,
+                         const proxy::ProxyOptions& of, std::uint64_t seed, net::Log log)
+    : loop_(loop), proxy_(proxy), mailbox_(loop) {
+  signal(SIGXFSZ, SIG_IGN);  // a limit on files is a full disk, not the end
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = std::min(limit.rlim_max, limit.rlim_cur + kGroupDescriptors);
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  options.seed = seed;
+  group::Hooks hooks;
+  hooks.list = [this](discovery::MemberUpdate update) {
+    mailbox_.post([this, update = std::move(update)] { proxy_.given(update); });
+  };
+  hooks.facts = [this](std::vector<group::Fact> facts) {
+    mailbox_.post([this, facts = std::move(facts)] {
+      for (auto& f : facts) proxy_.dispatcher().fact({f.server, true, f.taken, f.load}, f.age);
+    });
+  };
+  hooks.alone = [this](bool alone) { mailbox_.post([this, alone] { proxy_.watch_discovery(alone); }); };
+  hooks.prober = [limits = of.pool, log](net::Loop& group_loop, group::Probed probed) {
+    return std::make_unique<PoolProber>(group_loop, limits, log, std::move(probed));
+  };
+  proxy.dispatcher().use_facts();
+  proxy.before_turn_end = [this] { mailbox_.drain(); };
+  node_ = std::make_unique<group::Node>(std::move(options), of.discovery, of.pace, of.known, std::move(hooks),
+                                        std::move(log));
+}
+
+GroupRunner::~GroupRunner() {
+  node_.reset();
+  proxy_.before_turn_end = [] {};
+}
+
+}  // namespace linenwinch::app
--- /dev/null
+++ b/src/app/group_runner.h
@@ -0,0 +1,31 @@
+// The group in a daemon: its node, in a thread of its own, and what goes between it and the proxy. Made only
+// where the operator's file has a section `group`.
+#pragma once
+
+#include <memory>
+
+#include "group/node.h"
+#include "proxy/proxy.h"
+
+namespace linenwinch::app {
+
+class GroupRunner {
+ public:
+  // `loop` is the proxy's, which is not running yet. Throws std::runtime_error with one line.
+  GroupRunner(net::Loop& loop, proxy::Proxy& proxy, group::Options options, const proxy::ProxyOptions& of,
+              std::uint64_t seed, net::Log log);
+  ~GroupRunner();
+  void start() { node_->start(); }
+  void leave() { node_->leave(); }
+  void reconfigure(const std::string& discovery, std::vector<group::NodeAddress> nodes) {
+    node_->reconfigure(discovery, std::move(nodes));
+  }
+
+ private:
+  net::Loop& loop_;
+  proxy::Proxy& proxy_;
+  net::Mailbox mailbox_;  // to the proxy's thread
+  std::unique_ptr<group::Node> node_;
+};
+
+}  // namespace linenwinch::app
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -77,6 +77,30 @@
     o.cpus = w.value("cpus", o.cpus);
   }
   if (root.contains("network")) file.congestion = root.at("network").value("congestion", "");
+  if (root.contains("group")) {
+    auto& g = root.at("group");
+    auto& o = file.group.emplace();
+    o.installation = g.value("installation", "");
+    o.name = g.value("name", "");
+    o.listen = g.value("listen", "");
+    o.directory = g.value("directory", "");
+    for (auto& n : g.at("nodes")) o.nodes.push_back({n.value("name", ""), n.value("address", "")});
+    if (o.voter()) o.jobs = {"list", "probe"};
+    o.jobs = g.value("jobs", o.jobs);
+    auto millis = [&](const char* key, group::Micros* to) {
+      if (g.contains(key)) *to = group::Micros(g.at(key).get<std::int64_t>() * 1000);
+    };
+    millis("heartbeat_ms", &o.heartbeat);
+    millis("lease_ms", &o.lease);
+    millis("fallback_ms", &o.fallback);
+    millis("probe_every_ms", &o.probe_every);
+    if (g.contains("election_ms")) {
+      o.election_min = group::Micros(g.at("election_ms").at(0).get<std::int64_t>() * 1000);
+      o.election_max = group::Micros(g.at("election_ms").at(1).get<std::int64_t>() * 1000);
+    }
+    group::check(o);
+    if (file.workers.count > 1) throw ConfigError("group: goes with one worker only (workers.count 1)");
+  }
   if (root.contains("log")) {
     auto& l = root.at("log");
     file.log.json = l.value("format", "text") == "json";
@@ -89,6 +113,8 @@
   return file;
 } catch (const json::exception& e) {
   throw ConfigError(e.what());
+} catch (const std::invalid_argument& e) {
+  throw ConfigError(e.what());
 }
 
 OperatorFile read_operator_file(const std::string& path) try {
@@ -122,6 +148,16 @@
   differs(a.share_probes != b.share_probes, "workers.share_probes");
   differs(a.cpus != b.cpus, "workers.cpus");
   differs(running.congestion != read.congestion, "network.congestion");
+  differs(running.group.has_value() != read.group.has_value(), "group");
+  if (running.group && read.group) {
+    auto &c = *running.group, &d = *read.group;
+    differs(c.installation != d.installation || c.name != d.name || c.listen != d.listen ||
+                c.directory != d.directory || c.voter() != d.voter() || c.jobs != d.jobs ||
+                c.heartbeat != d.heartbeat || c.election_min != d.election_min ||
+                c.election_max != d.election_max || c.lease != d.lease || c.fallback != d.fallback ||
+                c.probe_every != d.probe_every,
+            "group (all but nodes)");
+  }
   return keys;
 }
 
--- a/src/app/operator_file.h
+++ b/src/app/operator_file.h
@@ -2,11 +2,13 @@
 // Each subsystem has one object of its own here, and one member of OperatorFile.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "app/config.h"
 #include "app/logger.h"
+#include "group/options.h"
 #include "workers/group.h"
 
 namespace linenwinch::app {
@@ -14,7 +16,8 @@
 struct OperatorFile {
   workers::GroupOptions workers;
   LogOptions log;
-  std::string congestion;  // of sockets; empty: the system's own
+  std::string congestion;               // of sockets; empty: the system's own
+  std::optional<group::Options> group;  // none: no thread, socket, file or allocation of it
 };
 
 // Throw ConfigError with one line: the path of the first key that is wrong, why, and how many more are.
--- a/src/discovery/members.cpp
+++ b/src/discovery/members.cpp
@@ -44,4 +44,19 @@
   return read_members(json);
 }
 
+nlohmann::json write_members(const MemberUpdate& update) {
+  auto instances = nlohmann::json::array();
+  for (auto& m : update.members)
+    instances.push_back({{"instanceId", m.id},
+                         {"hostPort", m.address},
+                         {"zone", m.zone},
+                         {"cell", m.cell},
+                         {"lifecycle", m.lifecycle == Lifecycle::kUp         ? "up"
+                                       : m.lifecycle == Lifecycle::kDraining ? "draining"
+                                                                             : "removed"},
+                         {"weight", m.weight},
+                         {"startedAtMs", m.started_at_ms}});
+  return {{"generation", update.generation}, {"reset", update.reset}, {"instances", std::move(instances)}};
+}
+
 }  // namespace linenwinch::discovery
--- a/src/discovery/members.h
+++ b/src/discovery/members.h
@@ -28,5 +28,7 @@
 // Throw std::invalid_argument, telling what is wrong.
 MemberUpdate read_members(const nlohmann::json& json);
 MemberUpdate parse_members(std::string_view text);
+// The same form again.
+nlohmann::json write_members(const MemberUpdate& update);
 
 }  // namespace linenwinch::discovery
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -19,8 +19,10 @@
 
 #include "lab/cores.h"
 #include "lab/daemon.h"
+#include "lab/faults/experiments.h"
 #include "lab/load.h"
 #include "lab/report.h"
+#include "lab/scratch.h"
 #include "lab/simulate/commands.h"
 #include "lab/stand_in.h"
 #include "net/socket.h"
@@ -211,31 +213,6 @@
   return rules.total() == 0 && f.served > 0 ? 0 : 2;
 }
 
-// A folder of its own for a daemon's files, gone at the end.
-class ScratchFolder {
- public:
-  ScratchFolder() {
-    auto pattern = (std::filesystem::temp_directory_path() / "linenwinch-XXXXXX").string();
-    if (!mkdtemp(pattern.data())) throw std::runtime_error("cannot make a folder for the daemon's files");
-    path_ = pattern;
-  }
-  ~ScratchFolder() {
-    std::error_code none;
-    std::filesystem::remove_all(path_, none);
-  }
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
-};
-
-// The daemon that was built beside this program.
-std::string daemon_beside() {
-  std::error_code none;
-  auto own = std::filesystem::read_symlink("/proc/self/exe", none);
-  return (own.parent_path() / "linenwinch").string();
-}
-
 std::vector<int> numbers(const std::string& text) {
   std::vector<int> all;
   std::stringstream in(text);
@@ -313,6 +290,7 @@
       {"ask", {ask, "one request, and its answer"}},
       {"cores", {cores, "experiment: one worker and several, decisions shared and split"}},
       {"simulate", {simulate::run, "groups in simulated time, or their small scope explored whole"}},
+      {"faults", {faults::run, "many processes of the daemon, and faults between them"}},
       {"load", {load, "clients that ask a daemon, open or closed loop"}}};
   std::string name = argc > 1 ? argv[1] : "help";
   if (name == "help" || name == "--help" || name == "-h") {
--- a/src/lab/daemon.cpp
+++ b/src/lab/daemon.cpp
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <sched.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -33,6 +35,8 @@
   if (!file.flush()) throw std::runtime_error("cannot write " + path.string());
 }
 
+}  // namespace
+
 // A port that nobody listens on at the moment. Earlier builds don't tell which one the system picked for
 // them.
 int free_port() {
@@ -42,8 +46,6 @@
   return net::local_port(fd.get());
 }
 
-}  // namespace
-
 json lab_settings() {
   return json::parse(R"({
     "RequestClasses":[
@@ -64,11 +66,11 @@
 Daemon::Daemon(const DaemonOptions& options) : options_(options) {
   auto settings = lab_settings();
   if (!options.settings.is_null()) settings.merge_patch(options.settings);
-  json config = {{"name", "lab"},
-                 {"listen", fmt::format("127.0.0.1:{}", free_port())},
+  json config = {{"name", options.name},
+                 {"listen", fmt::format("127.0.0.1:{}", options.port ? options.port : free_port())},
                  {"discovery", options.discovery},
                  {"seed", fmt::format("{:x}", options.seed)},
-                 {"limits", {{"sockets", options.sockets}, {"memory_mb", 2048}}},
+                 {"limits", {{"sockets", options.sockets}, {"memory_mb", options.memory_mb}}},
                  {"known", options.known},
                  {"settings", settings}};
   fs::path folder(options.folder);
@@ -80,6 +82,12 @@
   pid_ = fork();
   if (pid_ < 0) throw std::runtime_error("cannot start a process");
   if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // whatever becomes of the rig, its processes end with it
+    if (options.file_limit > 0) {
+      rlimit limit{options.file_limit, options.file_limit};
+      setrlimit(RLIMIT_FSIZE, &limit);
+    }
+    for (auto& [name, value] : options.environment) setenv(name.c_str(), value.c_str(), 1);
     if (!options.cpus.empty()) {
       cpu_set_t set;
       CPU_ZERO(&set);
@@ -126,6 +134,14 @@
   fs::rename(path.string() + ".new", path);
 }
 
+bool Daemon::running() {
+  if (pid_ <= 0) return false;
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  pid_ = -1;
+  return false;
+}
+
 void Daemon::signal(int number) {
   if (pid_ > 0) kill(pid_, number);
 }
--- a/src/lab/daemon.h
+++ b/src/lab/daemon.h
@@ -20,8 +20,16 @@
   std::size_t sockets = 8192;
   std::uint64_t seed = 1;
   nlohmann::json settings = {};  // merged over those of the lab's deployment
+  int port = 0;                  // for clients; 0: one that is free
+  std::string name = "lab";
+  std::size_t memory_mb = 2048;
+  std::uint64_t file_limit = 0;  // bytes that a file may have (RLIMIT_FSIZE); 0: any
+  std::vector<std::pair<std::string, std::string>> environment;
 };
 
+// A port that nobody listens on at the moment.
+int free_port();
+
 // The request classes, limits and guarantees that the lab's stand-ins keep to.
 nlohmann::json lab_settings();
 
@@ -38,6 +46,7 @@
   void signal(int number);
   int wait();  // for its end; its exit code, or 128 and the signal
   std::string log() const;
+  bool running();  // it has not ended by itself
   void write_operator_file(const nlohmann::json& content);
 
   struct Usage {
--- /dev/null
+++ b/src/lab/faults/experiments.cpp
@@ -0,0 +1,576 @@
+#include "lab/faults/experiments.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "lab/faults/rig.h"
+#include "lab/load.h"
+#include "lab/report.h"
+
+namespace linenwinch::lab::faults {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kClients = 4, kRegisters = 8;
+// Calls on one register before the next one is taken: the search for an order of them stays short.
+constexpr int kCallsOfRegister = 60;
+constexpr Micros kSettled{30'000'000};  // after the last fault, by when all must agree
+
+void pause_for(Micros span) { std::this_thread::sleep_for(span); }
+
+// Clients of the group's registers, each call told to the history and kept for the checker.
+class Registers {
+ public:
+  Registers(Rig& rig, std::uint64_t seed) : rig_(rig), seed_(seed) {
+    for (int i = 0; i < kClients; ++i) threads_.emplace_back([this, i] { run(i); });
+  }
+  ~Registers() { stop(); }
+  void stop() {
+    stop_ = true;
+    for (auto& t : threads_)
+      if (t.joinable()) t.join();
+  }
+  std::uint64_t acknowledged() const { return acknowledged_; }
+  // The first write that was called after this moment and acknowledged: when; waits for it.
+  std::optional<Micros> first_after(Micros when, Micros patience) {
+    auto end = net::monotonic_now() + patience;
+    while (net::monotonic_now() < end) {
+      {
+        std::lock_guard lock(mutex_);
+        for (auto it = acks_.rbegin(); it != acks_.rend() && it->second >= when; ++it)
+          if (it->first >= when) best_ = best_ ? std::min(*best_, it->second) : it->second;
+        if (best_) return std::exchange(best_, std::nullopt);
+      }
+      pause_for(5ms);
+    }
+    return std::nullopt;
+  }
+  std::map<std::string, std::vector<Operation>> operations() {
+    std::lock_guard lock(mutex_);
+    return operations_;
+  }
+
+ private:
+  void run(int number) {
+    std::mt19937_64 random(seed_ * 977 + static_cast<std::uint64_t>(number));
+    std::unique_ptr<app::FleetCall> call;
+    std::size_t at = random() % rig_.voters().size();
+    for (std::uint64_t n = 0; !stop_; ++n) {
+      Operation o;
+      o.write = random() % 10 < 6;
+      std::uint64_t round;
+      {
+        std::lock_guard lock(mutex_);
+        round = calls_++ / (kCallsOfRegister * kRegisters);
+      }
+      auto key = fmt::format("r{}-{}", random() % kRegisters, round);
+      if (o.write) o.value = fmt::format("{}.{}", number, n);
+      o.called = rig_.history().now();
+      try {
+        if (!call) call = std::make_unique<app::FleetCall>(rig_.address(rig_.voters()[at]), "lab", 700);
+        auto answer = call->ask(o.write ? json{{"do", "put"}, {"key", key}, {"value", o.value}}
+                                        : json{{"do", "get"}, {"key", key}});
+        auto now = rig_.history().now();
+        bool ok = answer.value("ok", false), unknown = answer.value("why", "").starts_with("unknown");
+        if (!o.write) o.value = answer.value("value", "");
+        if (ok) o.answered = now;
+        std::lock_guard lock(mutex_);
+        if (ok || (o.write && unknown)) operations_[key].push_back(o);
+        if (ok && o.write) {
+          ++acknowledged_;
+          acks_.emplace_back(o.called, now);
+        }
+      } catch (const std::runtime_error&) {
+        call.reset();
+        at = (at + 1) % rig_.voters().size();
+        std::lock_guard lock(mutex_);
+        if (o.write) operations_[key].push_back(o);  // it may have happened, or may yet
+        pause_for(5ms);
+      }
+      pause_for(Micros(static_cast<std::int64_t>(2000 + random() % 6000)));
+    }
+  }
+
+  Rig& rig_;
+  std::uint64_t seed_;
+  std::atomic<bool> stop_{false};
+  std::atomic<std::uint64_t> acknowledged_{0};
+  std::mutex mutex_;
+  std::uint64_t calls_ = 0;
+  std::optional<Micros> best_;
+  std::vector<std::pair<Micros, Micros>> acks_;  // called, answered
+  std::map<std::string, std::vector<Operation>> operations_;
+  std::vector<std::thread> threads_;
+};
+
+// Asks every process who it is and what it holds, all the time.
+class Sampler {
+ public:
+  explicit Sampler(Rig& rig) : rig_(rig) {
+    for (auto& name : rig.all())
+      if (!rig.address(name).empty()) threads_.emplace_back([this, name] { run(name); });
+  }
+  ~Sampler() { stop(); }
+  void stop() {
+    stop_ = true;
+    for (auto& t : threads_)
+      if (t.joinable()) t.join();
+  }
+  Holds& holds() { return holds_; }
+  std::uint64_t accepted_stale() const { return accepted_stale_; }
+  std::uint64_t two_leaders() const { return two_leaders_; }
+
+ private:
+  void run(const std::string& name) {
+    std::unique_ptr<app::FleetCall> call;
+    std::map<std::string, std::uint64_t> published;
+    while (!stop_) {
+      try {
+        if (!call) call = std::make_unique<app::FleetCall>(rig_.address(name), "lab", 30'000);
+        auto s = call->ask({{"do", "status"}}).at("status");
+        auto owners = call->ask({{"do", "owners"}}).at("owners");
+        std::lock_guard lock(mutex_);
+        for (auto& h : s.at("holds"))
+          holds_.saw(Micros(s.at("clock_us").get<std::int64_t>()), name, h.at(0),
+                     h.at(1).get<std::uint64_t>());
+        if (s.value("role", "") == "leader") {
+          auto [it, fresh] = leaders_.emplace(s.at("term").get<std::uint64_t>(), name);
+          if (!fresh && it->second != name) ++two_leaders_;
+        }
+        for (auto& o : owners) {
+          auto& before = published[o.at("job").get<std::string>()];
+          auto by = o.at("published_by").get<std::uint64_t>();
+          if (by < before) ++accepted_stale_;
+          before = by;
+        }
+      } catch (const std::exception&) {
+        call.reset();
+        published.clear();  // it may come back with an earlier state that it then catches up from
+      }
+      pause_for(20ms);
+    }
+  }
+  Rig& rig_;
+  std::atomic<bool> stop_{false};
+  std::atomic<std::uint64_t> accepted_stale_{0}, two_leaders_{0};
+  std::mutex mutex_;
+  Holds holds_;
+  std::map<std::uint64_t, std::string> leaders_;
+  std::vector<std::thread> threads_;
+};
+
+double percentile_of(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  auto at = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+  return values[std::min(at, values.size() - 1)];
+}
+
+std::uint64_t count_in(const std::string& text, const std::string& what) {
+  std::uint64_t n = 0;
+  for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) ++n;
+  return n;
+}
+
+struct Draw {
+  std::mt19937_64 random;
+  std::uint64_t below(std::uint64_t n) { return random() % n; }
+  Micros span(int least_ms, int most_ms) {
+    return Micros(1000 * (least_ms + static_cast<std::int64_t>(
+                                         below(static_cast<std::uint64_t>(most_ms - least_ms + 1)))));
+  }
+  const std::string& of(const std::vector<std::string>& names) { return names[below(names.size())]; }
+};
+
+// One fault on `victim`, over when this returns. What hits it is undone here.
+std::string one_fault(Rig& rig, Draw& draw, const std::string& victim, bool jobs) {
+  auto& voters = rig.voters();
+  auto other = victim;
+  while (other == victim) other = draw.of(voters);
+  switch (draw.below(jobs ? 11 : 13)) {
+    case 0:
+    case 1:
+      rig.kill(victim);
+      pause_for(draw.span(0, 2000));
+      rig.start(victim);
+      return "killed";
+    case 2:
+      rig.pause(victim);
+      pause_for(200ms);
+      rig.resume(victim);
+      return "stopped for 0.2 s";
+    case 3:
+      rig.pause(victim);
+      pause_for(2s);
+      rig.resume(victim);
+      return "stopped for 2 s";
+    case 4:
+      rig.mute(victim);
+      pause_for(draw.span(1000, jobs ? 4500 : 2500));
+      rig.heal();
+      return "heard by none";
+    case 5:
+      rig.deafen(victim);
+      pause_for(draw.span(1000, 2500));
+      rig.heal();
+      return "hears none";
+    case 6:
+      rig.isolate(victim);
+      pause_for(draw.span(800, jobs ? 4500 : 2500));
+      rig.heal();
+      return "cut off";
+    case 7:
+      for (int i = 0; i < 5; ++i) {
+        rig.cut(victim, other);
+        pause_for(300ms);
+        rig.heal();
+        pause_for(300ms);
+      }
+      return "a link flaps";
+    case 8: {
+      LinkState s;
+      s.stall_after = static_cast<std::int64_t>(draw.below(400));
+      rig.shape(victim, other, s);
+      pause_for(draw.span(500, 1500));
+      rig.reset_links(victim);
+      rig.heal();
+      return "a message stalls in its middle, then resets";
+    }
+    case 9:
+      rig.terminate(victim);
+      rig.start(victim);
+      return "restarted";
+    case 10: {
+      LinkState s;
+      s.delay = draw.span(20, 120);
+      for (auto& to : voters)
+        if (to != victim) rig.shape(victim, to, s);
+      pause_for(draw.span(500, 1500));
+      rig.heal();
+      return "slow links";
+    }
+    case 11:
+      rig.slow_disk(victim, 1000);
+      pause_for(draw.span(1000, 2500));
+      rig.slow_disk(victim, 0);
+      return "slow disk";
+    default: {
+      // The majority goes and comes back.
+      std::vector<std::string> down{victim};
+      while (down.size() <= voters.size() / 2) {
+        auto& next = draw.of(voters);
+        if (!std::count(down.begin(), down.end(), next)) down.push_back(next);
+      }
+      for (auto& n : down) rig.kill(n);
+      pause_for(draw.span(500, 1500));
+      for (auto& n : down) rig.start(n);
+      return "majority killed";
+    }
+  }
+}
+
+// All links well, all processes up: waits until the nodes have the same state and one leader.
+bool settled(Rig& rig) {
+  return rig.soon(
+      [&] {
+        std::set<std::uint64_t> applied;
+        for (auto& name : rig.all()) {
+          if (rig.address(name).empty()) continue;
+          auto s = rig.status(name);
+          if (!s) return false;
+          applied.insert(s->at("applied").get<std::uint64_t>());
+        }
+        return applied.size() == 1 && !rig.leader().empty();
+      },
+      kSettled);
+}
+
+}  // namespace
+
+json run_group(const ExperimentOptions& options) {
+  RigOptions o;
+  o.program = options.program;
+  o.folder = options.folder;
+  o.voters = options.processes > 0 ? options.processes : 5;
+  o.seed = options.seed;
+  o.group = {{"jobs", json::array()}};
+  Rig rig(o);
+  Registers clients(rig, options.seed);
+  Sampler sampler(rig);
+  Draw draw{std::mt19937_64(options.seed)};
+  std::vector<double> leaderless;
+  std::uint64_t stuck = 0;
+  clients.first_after(rig.history().now(), 10s);
+  for (int i = 0; i < options.faults; ++i) {
+    auto leader = rig.leader();
+    auto victim = !leader.empty() && draw.below(3) < 2 ? leader : draw.of(rig.voters());
+    auto at = rig.history().now();
+    std::optional<Micros> again;
+    std::thread watch([&] { again = clients.first_after(at + 1ms, 30s); });
+    auto what = one_fault(rig, draw, victim, false);
+    watch.join();
+    // What lost the majority or slowed the disk lasts as long as it is made to: that is no election's time.
+    bool counted = victim == leader && what != "majority killed" && what != "slow disk";
+    double ms = again ? static_cast<double>((*again - at).count()) / 1000 : -1;
+    if (!again) ++stuck;
+    if (counted && again) leaderless.push_back(ms);
+    rig.history().add("fault over",
+                      {{"fault", what}, {"node", victim}, {"led", victim == leader}, {"until_write_ms", ms}});
+    if (!rig.soon([&] { return !rig.leader().empty(); }, kSettled)) ++stuck;
+  }
+  clients.stop();
+  bool agreed = settled(rig);
+  sampler.stop();
+  // The last word on each register closes its history: an acknowledged write that is gone shows here.
+  auto operations = clients.operations();
+  std::uint64_t bad = 0, unchecked = 0, checked = 0, lost = 0;
+  for (auto& [key, list] : operations) {
+    Operation last;
+    last.called = rig.history().now();
+    json answer;
+    rig.soon([&] {
+      try {
+        answer = rig.ask(rig.leader(), {{"do", "get"}, {"key", key}}, 2000);
+      } catch (const std::exception&) {
+        return false;
+      }
+      return answer.value("ok", false);
+    });
+    last.value = answer.value("value", "");
+    last.answered = rig.history().now();
+    bool any =
+        std::any_of(list.begin(), list.end(), [](auto& x) { return x.write && x.answered != Micros::max(); });
+    lost += any && last.value.empty();
+    list.push_back(last);
+    bool gave_up = false;
+    checked += list.size();
+    if (!linearizable(list, &gave_up)) ++(gave_up ? unchecked : bad);
+  }
+  std::uint64_t elections = 0;
+  for (auto& name : rig.voters()) elections += count_in(rig.log(name), "group: leader in term");
+  if (!options.history.empty()) rig.history().write(options.history);
+  return {{"seed", options.seed},
+          {"processes", o.voters},
+          {"faults", options.faults},
+          {"acknowledged", clients.acknowledged()},
+          {"lost", lost},
+          {"operations_checked", checked},
+          {"linearizable", bad == 0},
+          {"registers_not_decided", unchecked},
+          {"agreed_at_end", agreed},
+          {"two_leaders_in_a_term", sampler.two_leaders()},
+          {"elections", elections},
+          {"stuck", stuck},
+          {"leader_faults", leaderless.size()},
+          {"leaderless_ms_p50", percentile_of(leaderless, 0.5)},
+          {"leaderless_ms_p99", percentile_of(leaderless, 0.99)},
+          {"leaderless_ms", leaderless}};
+}
+
+json run_owner(const ExperimentOptions& options) {
+  RigOptions o;
+  o.program = options.program;
+  o.folder = options.folder;
+  o.voters = 3;
+  o.followers = std::max(1, (options.processes > 0 ? options.processes : 9) - o.voters);
+  o.seed = options.seed;
+  o.stand_in.sets = 3;
+  o.stand_in.seed = options.seed;
+  Rig rig(o);
+  const std::vector<std::string> jobs{"list", "probe 1", "probe 2", "probe 3"};
+  auto all_owned = [&] {
+    auto owners = rig.owners();
+    return std::all_of(jobs.begin(), jobs.end(), [&](auto& job) {
+      return std::any_of(owners.begin(), owners.end(),
+                         [&](auto& x) { return x.at("job") == job && x.value("owner", "") != ""; });
+    });
+  };
+  if (!rig.soon(all_owned)) throw std::runtime_error("the jobs found no owners");
+  Sampler sampler(rig);
+  std::vector<std::thread> loads;
+  std::atomic<bool> stop{false};
+  std::mutex mutex;
+  LoadFigures sum;
+  const auto proxies = rig.followers();
+  for (std::size_t i = 0; i < proxies.size(); ++i)
+    loads.emplace_back([&, i, port = rig.port(proxies[i])] {
+      for (int n = 0; !stop; ++n) {
+        LoadOptions l;
+        l.target = *net::parse_address(fmt::format("127.0.0.1:{}", port));
+        l.connections = 4;
+        l.rate = 20;
+        l.length = 2s;
+        l.warm_up = Micros(0);
+        l.sets = {1, 2, 3};
+        l.seed = options.seed * 1000 + i * 100 + static_cast<std::uint64_t>(n);
+        l.rules = &rig.stand_in().rules();
+        l.prefix = fmt::format("o{}-{}-", i, n);
+        try {
+          auto f = run_load(l);
+          std::lock_guard lock(mutex);
+          sum.add(f);
+        } catch (const std::runtime_error&) {
+          pause_for(50ms);
+        }
+      }
+    });
+  Draw draw{std::mt19937_64(options.seed)};
+  std::uint64_t taken_over_late = 0;
+  std::vector<double> until_owned;
+  double drain_ms = -1;
+  for (int i = 0; i < options.faults; ++i) {
+    auto job = draw.of(jobs);
+    auto victim = rig.owner(job);
+    if (victim.empty() || !std::count(rig.voters().begin(), rig.voters().end(), victim))
+      victim = draw.of(rig.voters());
+    auto what = one_fault(rig, draw, victim, true);
+    auto at = net::monotonic_now();
+    if (!rig.soon([&] { return !rig.leader().empty() && all_owned(); }, kSettled)) ++taken_over_late;
+    until_owned.push_back(static_cast<double>((net::monotonic_now() - at).count()) / 1000);
+    rig.history().add("fault over", {{"fault", what}, {"node", victim}, {"job", job}});
+    if (i % 10 == 9) {
+      // A drain among the faults: no proxy sends there later than a second after any of them was told.
+      auto set = 1 + draw.below(3);
+      auto server = fmt::format("s{}-{}", set, 3);
+      auto generation = [&] {
+        std::int64_t least = INT64_MAX;
+        for (auto& name : rig.voters())
+          if (auto s = rig.status(name))
+            least = std::min(least, s->value("list_generation", std::int64_t{0}));
+        return least;
+      };
+      auto list = rig.stand_in().members().at("generation").get<std::int64_t>();
+      rig.stand_in().steer({{"do", "drain"}, {"server", server}});
+      rig.history().add("drain", {{"server", server}});
+      rig.soon([&] { return generation() > list; });
+      pause_for(1500ms);
+      for (auto& [name, ms] : rig.stand_in().rules().drain_last_send_ms()) drain_ms = std::max(drain_ms, ms);
+      rig.stand_in().steer({{"do", "up"}, {"server", server}});
+      rig.soon([&] { return generation() > list + 1; });
+    }
+  }
+  stop = true;
+  for (auto& t : loads) t.join();
+  bool agreed = settled(rig);
+  sampler.stop();
+  std::uint64_t attempted = 0, elections = 0, moves = 0;
+  for (auto& name : rig.voters()) {
+    if (auto s = rig.status(name)) attempted += s->value("stale_effects", std::uint64_t{0});
+    elections += count_in(rig.log(name), "group: leader in term");
+  }
+  for (auto& name : rig.all()) attempted += count_in(rig.log(name), "turned down");
+  moves = count_in(rig.log("n1"), "is granted to");
+  auto report = rig.stand_in().report();
+  double seconds = static_cast<double>(rig.history().now().count()) / 1e6, probes = 0;
+  for (auto& [id, s] : report.at("servers").items()) probes += s.at("probes").get<double>();
+  if (!options.history.empty()) rig.history().write(options.history);
+  json breaches = report.at("breaches");
+  return {{"seed", options.seed},
+          {"processes", rig.all().size()},
+          {"faults", options.faults},
+          {"asked", sum.asked},
+          {"served_share", sum.asked ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0},
+          {"unanswered", sum.unanswered},
+          {"samples", sampler.holds().samples()},
+          {"owners_overlapping", sampler.holds().overlapping()},
+          {"stale_effects_attempted", attempted},
+          {"stale_effects_accepted", sampler.accepted_stale()},
+          {"elections", elections},
+          {"grants_seen_by_n1", moves},
+          {"not_owned_again", taken_over_late},
+          {"until_owned_ms_p50", percentile_of(until_owned, 0.5)},
+          {"until_owned_ms_p99", percentile_of(until_owned, 0.99)},
+          {"agreed_at_end", agreed},
+          {"list_calls", report.at("list_calls")},
+          {"whole_list_calls", report.at("whole_list_calls")},
+          {"probes_per_server_per_s", probes / static_cast<double>(report.at("servers").size()) / seconds},
+          {"drain_last_send_ms", drain_ms},
+          {"rule_breaches", rig.stand_in().rules().total()},
+          {"breaches", breaches}};
+}
+
+json run_savings(const ExperimentOptions& options) {
+  json rows = json::array();
+  int processes = options.processes > 0 ? options.processes : 100;
+  for (bool grouped : {false, true}) {
+    RigOptions o;
+    o.program = options.program;
+    o.folder = fmt::format("{}/{}", options.folder, grouped ? "owned" : "alone");
+    o.voters = 3;
+    o.followers = processes - 3;
+    o.grouped = grouped;
+    o.seed = options.seed;
+    o.stand_in.sets = 3;
+    o.stand_in.seed = options.seed;
+    o.stand_in.threads = 2;
+    Rig rig(o);
+    if (grouped && !rig.soon([&] { return rig.owners().size() >= 4; }))
+      throw std::runtime_error("the jobs found no owners");
+    pause_for(2s);
+    auto before = rig.stand_in().report();
+    auto cpu = [&] {
+      double seconds = 0;
+      for (auto& name : rig.all()) seconds += rig.daemon(name)->usage().cpu_seconds;
+      return seconds;
+    };
+    auto cpu_before = cpu();
+    auto began = net::monotonic_now();
+    LoadFigures sum;
+    std::mutex mutex;
+    // Few threads give all proxies their load: a little to each, at the same time.
+    std::vector<std::thread> loads;
+    auto names = rig.all();
+    for (std::size_t i = 0; i < names.size(); ++i)
+      loads.emplace_back([&, i] {
+        LoadOptions l;
+        l.target = *net::parse_address(fmt::format("127.0.0.1:{}", rig.port(names[i])));
+        l.connections = 2;
+        l.rate = 10;
+        l.length = Micros(static_cast<std::int64_t>(options.faults) * 1'000'000);  // seconds
+        l.warm_up = Micros(0);
+        l.sets = {1, 2, 3};
+        l.seed = options.seed * 1000 + i;
+        l.rules = &rig.stand_in().rules();
+        l.prefix = fmt::format("s{}-", i);
+        auto f = run_load(l);
+        std::lock_guard lock(mutex);
+        sum.add(f);
+      });
+    for (auto& t : loads) t.join();
+    double seconds = static_cast<double>((net::monotonic_now() - began).count()) / 1e6;
+    auto after = rig.stand_in().report();
+    auto cpu_after = cpu();
+    double probes = 0, rss = 0;
+    for (auto& [id, s] : after.at("servers").items())
+      probes += s.at("probes").get<double>() - before.at("servers").at(id).at("probes").get<double>();
+    for (auto& name : names) rss = std::max(rss, rig.daemon(name)->usage().rss_mb);
+    rows.push_back(
+        {{"mode", grouped ? "owned" : "alone"},
+         {"seed", options.seed},
+         {"processes", processes},
+         {"seconds", seconds},
+         {"asked", sum.asked},
+         {"served_share", sum.asked ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0},
+         {"p50_ms", percentile(sum.all, 0.5) / 1000},
+         {"p99_ms", percentile(sum.all, 0.99) / 1000},
+         {"list_calls",
+          after.at("list_calls").get<std::uint64_t>() - before.at("list_calls").get<std::uint64_t>()},
+         {"whole_list_calls_from_start", after.at("whole_list_calls")},
+         {"list_calls_from_start", after.at("list_calls")},
+         {"probes", probes},
+         {"probes_per_server_per_s", probes / static_cast<double>(after.at("servers").size()) / seconds},
+         {"cpu_seconds_all", cpu_after - cpu_before},
+         {"rss_mb_most", rss},
+         {"rule_breaches", rig.stand_in().rules().total()}});
+  }
+  return rows;
+}
+
+}  // namespace linenwinch::lab::faults
--- /dev/null
+++ b/src/lab/faults/experiments.h
@@ -0,0 +1,30 @@
+// The experiments of the fault rig: many faults drawn from a printed seed between many processes, and rows of
+// what the checkers found. docs/operations/group.md and docs/lab.md tell how to read them.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace linenwinch::lab::faults {
+
+struct ExperimentOptions {
+  std::string program, folder;
+  int processes = 0;  // 0: the experiment's own number
+  std::uint64_t seed = 1;
+  int faults = 50;      // of one seed
+  std::string history;  // write it to this file; empty: not
+};
+
+// Elections, members and the log under faults, with clients that write and read registers of the group.
+nlohmann::json run_group(const ExperimentOptions& options);
+// Jobs and their owners under faults, with load at the proxies.
+nlohmann::json run_owner(const ExperimentOptions& options);
+// What owned jobs save: proxies each for itself, then with the jobs owned, in one run; a row each.
+nlohmann::json run_savings(const ExperimentOptions& options);
+
+// `linenwinch_lab faults NAME ...`
+int run(const std::vector<std::string>& arguments);
+
+}  // namespace linenwinch::lab::faults
--- /dev/null
+++ b/src/lab/faults/history.h
@@ -0,0 +1,62 @@
+// What happened in a run of the fault rig, in the order of time, and checkers that read it afterwards. No I/O
+// but write().
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+
+namespace linenwinch::lab::faults {
+
+using net::Micros;
+
+class History {
+ public:
+  History() : began_(net::monotonic_now()) {}
+  // From any thread. `what` and the time are added.
+  void add(const std::string& what, nlohmann::json event = nlohmann::json::object());
+  Micros now() const { return net::monotonic_now() - began_; }
+  std::vector<nlohmann::json> events() const;
+  void write(const std::string& path) const;  // JSON lines
+
+ private:
+  Micros began_;
+  mutable std::mutex mutex_;
+  std::vector<nlohmann::json> events_;
+};
+
+// One call on one register.
+struct Operation {
+  Micros called{0}, answered{Micros::max()};  // max: nobody knows how it ended
+  bool write = false;
+  std::string value;  // written or read
+};
+// Whether one order of all operations explains what each saw (Herlihy and Wing, 1990), each taking effect at
+// one moment between call and answer; writes of unknown end may have taken effect or not. Values written are
+// all different. `most_states` bounds the search; false with `*gave_up` set: it ended there.
+bool linearizable(std::vector<Operation> operations, bool* gave_up = nullptr,
+                  std::size_t most_states = 2'000'000);
+
+// Samples of who passed its own check for a job: nobody may pass it after a holder of a newer token has.
+class Holds {
+ public:
+  // Sampled by the holder's own process at that moment, of one clock for all.
+  void saw(Micros at, const std::string& node, const std::string& job, std::uint64_t token);
+  std::uint64_t overlapping() const;  // pairs that contradict each other
+  std::uint64_t samples() const { return samples_; }
+
+ private:
+  struct Span {
+    Micros first, last;
+    std::string node;
+  };
+  std::map<std::string, std::map<std::uint64_t, Span>> spans_;  // by job, by token
+  std::uint64_t samples_ = 0;
+};
+
+}  // namespace linenwinch::lab::faults
--- /dev/null
+++ b/src/lab/faults/links.h
@@ -0,0 +1,48 @@
+// Links of the fault rig: each connection from one process to another runs through a port of the rig's own,
+// so that it can be cut, delayed, slowed, stalled or reset, one direction at a time. All in one thread.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/thread.h"
+#include "net/fd.h"
+#include "net/loop.h"
+#include "net/socket.h"
+
+namespace linenwinch::lab::faults {
+
+using net::Micros;
+
+struct LinkState {
+  bool hold_there = false, hold_back = false;  // bytes stay in the rig until it passes them again
+  Micros delay{0};                             // each way
+  std::int64_t bytes_per_second = 0;           // each way; 0: as they come
+  std::int64_t stall_after = -1;               // bytes that still pass from the dialer, then it is held
+};
+
+class Links {
+ public:
+  Links();
+  ~Links();
+  // A port that leads from one process to another's address; both names are the rig's own.
+  int add(const std::string& from, const std::string& to, const std::string& address);
+  void set(const std::string& from, const std::string& to, LinkState state);
+  void reset(const std::string& from, const std::string& to);  // RST on all its connections, both ends
+  std::uint64_t passed(const std::string& from, const std::string& to);  // bytes
+
+ private:
+  struct Pair;
+  struct Link;
+  Link& link(const std::string& from, const std::string& to);
+
+  std::map<std::pair<std::string, std::string>, std::unique_ptr<Link>> links_;
+  LoopThread thread_;
+};
+
+}  // namespace linenwinch::lab::faults
--- /dev/null
+++ b/src/lab/faults/rig.cpp
@@ -0,0 +1,290 @@
+#include "lab/faults/rig.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace linenwinch::lab::faults {
+namespace {
+
+namespace fs = std::filesystem;
+constexpr const char* kSlowSync = "liblinenwinch_slow_sync.so";
+
+}  // namespace
+
+Rig::Rig(RigOptions options) : options_(std::move(options)) {
+  stand_in_ = std::make_unique<StandIn>(options_.stand_in);
+  links_ = std::make_unique<Links>();
+  std::vector<std::string> names;
+  for (int i = 1; i <= options_.voters; ++i) voters_.push_back(fmt::format("n{}", i));
+  names = voters_;
+  for (int i = 1; i <= options_.followers; ++i) names.push_back(fmt::format("p{}", i));
+  for (auto& name : voters_) processes_[name].address = fmt::format("127.0.0.1:{}", free_port());
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    auto& name = names[i];
+    auto& p = processes_[name];
+    bool voter = i < voters_.size();
+    json group = {{"installation", "lab"}, {"name", name}, {"nodes", json::array()}};
+    if (voter) {
+      group["listen"] = p.address;
+      group["directory"] = folder(name) + "/state";
+    }
+    for (auto& other : voters_) {
+      auto to = processes_[other].address;
+      if (other != name && options_.grouped) {
+        to = fmt::format("127.0.0.1:{}", links_->add(name, other, to));
+        linked_.emplace_back(name, other);
+      }
+      group["nodes"].push_back({{"name", other}, {"address", to}});
+    }
+    group.merge_patch(options_.group);
+    fs::create_directories(folder(name));
+    auto& d = p.options;
+    d.program = options_.program;
+    d.folder = folder(name);
+    d.discovery = stand_in_->discovery();
+    d.known = stand_in_->members();
+    d.name = name;
+    d.sockets = 512;
+    d.memory_mb = 64;
+    d.seed = options_.seed * 1000 + i;
+    d.settings = options_.settings;
+    d.settings["NInstances"] = names.size();
+    p.client_port = d.port = free_port();
+    if (options_.grouped) d.operator_file = {{"group", group}};
+    auto slow = fs::path(options_.program).parent_path() / kSlowSync;
+    if (voter && fs::exists(slow)) {
+      std::ofstream(folder(name) + "/slow") << "0";
+      d.environment = {{"LD_PRELOAD", slow.string()},
+                       {"LINENWINCH_SLOW_SYNC", folder(name) + "/slow"},
+                       {"ASAN_OPTIONS", "verify_asan_link_order=0"}};
+    }
+  }
+  history_.add("rig",
+               {{"voters", options_.voters}, {"followers", options_.followers}, {"seed", options_.seed}});
+  for (auto& name : names) start(name);
+  if (!options_.grouped || !options_.initialise) return;
+  json ids = json::array();
+  for (auto& name : voters_) ids.push_back(ask(name, {{"do", "identify"}}, 5000).at("id"));
+  for (auto& name : voters_)
+    if (auto answer = ask(name, {{"do", "bootstrap"}, {"voters", ids}}, 5000); !answer.value("ok", false))
+      throw std::runtime_error(fmt::format("{} does not begin: {}", name, answer.value("why", "?")));
+  if (!soon([&] { return !leader().empty(); })) throw std::runtime_error("no leader was elected");
+}
+
+Rig::~Rig() {
+  for (auto& [name, p] : processes_) p.daemon.reset();
+}
+
+std::string Rig::folder(const std::string& name) const { return (fs::path(options_.folder) / name).string(); }
+std::string Rig::operator_file(const std::string& name) const { return folder(name) + "/operator.json"; }
+
+std::string Rig::log(const std::string& name) const {
+  auto& p = processes_.at(name);
+  return p.earlier_log + (p.daemon ? p.daemon->log() : "");
+}
+
+std::vector<std::string> Rig::followers() const {
+  std::vector<std::string> names;
+  for (int i = 1; i <= options_.followers; ++i) names.push_back(fmt::format("p{}", i));
+  return names;
+}
+
+std::vector<std::string> Rig::all() const {
+  auto names = voters_;
+  for (auto& f : followers()) names.push_back(f);
+  return names;
+}
+
+void Rig::start(const std::string& name) {
+  auto& p = processes_.at(name);
+  if (p.daemon) {
+    p.earlier_log += p.daemon->log();
+    p.daemon.reset();
+  }
+  p.paused = false;
+  history_.add("start", {{"node", name}});
+  p.daemon = std::make_unique<Daemon>(p.options);
+}
+
+void Rig::kill(const std::string& name) {
+  auto& p = processes_.at(name);
+  history_.add("kill", {{"node", name}});
+  if (!p.daemon) return;
+  p.daemon->signal(SIGKILL);
+  p.daemon->wait();
+}
+
+void Rig::pause(const std::string& name) {
+  history_.add("pause", {{"node", name}});
+  processes_.at(name).paused = true;
+  processes_.at(name).daemon->signal(SIGSTOP);
+}
+
+void Rig::resume(const std::string& name) {
+  history_.add("resume", {{"node", name}});
+  processes_.at(name).paused = false;
+  if (processes_.at(name).daemon) processes_.at(name).daemon->signal(SIGCONT);
+}
+
+int Rig::terminate(const std::string& name) {
+  history_.add("terminate", {{"node", name}});
+  auto& d = processes_.at(name).daemon;
+  d->signal(SIGTERM);
+  return d->wait();
+}
+
+void Rig::empty_directory(const std::string& name) {
+  history_.add("empty directory", {{"node", name}});
+  fs::remove_all(folder(name) + "/state");
+}
+
+void Rig::tear_directory(const std::string& name) {
+  history_.add("tear directory", {{"node", name}});
+  auto path = folder(name) + "/state/group.db";
+  // What is ahead of the file in its log would mend it.
+  std::error_code none;
+  fs::remove(path + "-wal", none);
+  auto size = fs::file_size(path);
+  std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(static_cast<std::streamoff>(std::min<std::uintmax_t>(size / 2, 100)));
+  file << std::string(std::min<std::size_t>(size / 2, 4000), '\x5a');
+}
+
+void Rig::limit_files(const std::string& name, std::uint64_t bytes) {
+  history_.add("limit files", {{"node", name}, {"bytes", bytes}});
+  processes_.at(name).options.file_limit = bytes;
+}
+
+void Rig::slow_disk(const std::string& name, int ms) {
+  history_.add("slow disk", {{"node", name}, {"ms", ms}});
+  std::ofstream(folder(name) + "/slow") << ms;
+}
+
+bool Rig::running(const std::string& name) {
+  auto& d = processes_.at(name).daemon;
+  return d && d->running();
+}
+
+void Rig::each_link(const std::function<bool(const std::string&, const std::string&)>& chosen,
+                    LinkState state) {
+  for (auto& [from, to] : linked_)
+    if (chosen(from, to)) links_->set(from, to, state);
+}
+
+void Rig::cut(const std::string& a, const std::string& b) {
+  history_.add("cut", {{"a", a}, {"b", b}});
+  LinkState cut;
+  cut.hold_there = cut.hold_back = true;
+  each_link([&](auto& from, auto& to) { return (from == a && to == b) || (from == b && to == a); }, cut);
+}
+
+void Rig::isolate(const std::string& name) {
+  history_.add("isolate", {{"node", name}});
+  LinkState cut;
+  cut.hold_there = cut.hold_back = true;
+  each_link([&](auto& from, auto& to) { return from == name || to == name; }, cut);
+}
+
+void Rig::mute(const std::string& name) {
+  history_.add("mute", {{"node", name}});
+  for (auto& [from, to] : linked_) {
+    LinkState s;
+    if (from == name) s.hold_there = true;
+    if (to == name) s.hold_back = true;
+    if (from == name || to == name) links_->set(from, to, s);
+  }
+}
+
+void Rig::deafen(const std::string& name) {
+  history_.add("deafen", {{"node", name}});
+  for (auto& [from, to] : linked_) {
+    LinkState s;
+    if (from == name) s.hold_back = true;
+    if (to == name) s.hold_there = true;
+    if (from == name || to == name) links_->set(from, to, s);
+  }
+}
+
+void Rig::shape(const std::string& from, const std::string& to, LinkState s) {
+  history_.add("shape", {{"from", from},
+                         {"to", to},
+                         {"delay_ms", s.delay.count() / 1000},
+                         {"bytes_per_second", s.bytes_per_second},
+                         {"stall_after", s.stall_after}});
+  links_->set(from, to, s);
+}
+
+void Rig::reset_links(const std::string& name) {
+  history_.add("reset links", {{"node", name}});
+  for (auto& [from, to] : linked_)
+    if (from == name || to == name) links_->reset(from, to);
+}
+
+void Rig::heal() {
+  history_.add("heal");
+  each_link([](auto&, auto&) { return true; }, LinkState{});
+}
+
+json Rig::ask(const std::string& name, json request, int patience_ms) {
+  return app::FleetCall(processes_.at(name).address, "lab", patience_ms).ask(std::move(request));
+}
+
+std::optional<json> Rig::status(const std::string& name, int patience_ms) {
+  auto& p = processes_.at(name);
+  if (p.paused || !p.daemon || !p.daemon->running()) return std::nullopt;
+  try {
+    auto answer = ask(name, {{"do", "status"}}, patience_ms);
+    if (answer.contains("status")) return answer.at("status");
+  } catch (const std::runtime_error&) {
+  }
+  return std::nullopt;
+}
+
+std::string Rig::leader() {
+  std::map<std::string, std::size_t> named;
+  for (auto& name : voters_)
+    if (auto s = status(name)) ++named[s->value("leader", "")];
+  for (auto& [name, count] : named)
+    if (!name.empty() && count > voters_.size() / 2)
+      if (auto s = status(name); s && s->value("role", "") == "leader") return name;
+  return "";
+}
+
+json Rig::owners() {
+  json best;
+  std::uint64_t newest = 0;
+  for (auto& name : voters_) {
+    auto s = status(name);
+    if (!s || s->value("applied", std::uint64_t{0}) < newest) continue;
+    try {
+      auto answer = ask(name, {{"do", "owners"}});
+      newest = s->value("applied", std::uint64_t{0});
+      best = answer.value("owners", json::array());
+    } catch (const std::runtime_error&) {
+    }
+  }
+  return best;
+}
+
+std::string Rig::owner(const std::string& job) {
+  for (auto& o : owners())
+    if (o.at("job") == job) return o.value("owner", "");
+  return "";
+}
+
+bool Rig::soon(const std::function<bool()>& what, Micros patience) {
+  auto end = net::monotonic_now() + patience;
+  while (true) {
+    if (what()) return true;
+    if (net::monotonic_now() >= end) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+}  // namespace linenwinch::lab::faults
--- /dev/null
+++ b/src/lab/faults/slow_sync.cpp
@@ -0,0 +1,39 @@
+// Loaded into a daemon by the fault rig (LD_PRELOAD): each sync of a file takes as many milliseconds longer
+// as the file named by LINENWINCH_SLOW_SYNC says then. The daemon itself knows nothing of it.
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+namespace {
+
+void wait_a_while() {
+  const char* path = getenv("LINENWINCH_SLOW_SYNC");
+  if (!path) return;
+  int fd = open(path, O_RDONLY | O_CLOEXEC);
+  if (fd < 0) return;
+  char text[16] = {};
+  [[maybe_unused]] auto n = read(fd, text, sizeof text - 1);
+  close(fd);
+  long ms = strtol(text, nullptr, 10);
+  timespec t{ms / 1000, ms % 1000 * 1'000'000};
+  if (ms > 0) nanosleep(&t, nullptr);
+}
+
+using Sync = int (*)(int);
+
+}  // namespace
+
+extern "C" int fsync(int fd) {
+  static auto real = reinterpret_cast<Sync>(dlsym(RTLD_NEXT, "fsync"));
+  wait_a_while();
+  return real(fd);
+}
+
+extern "C" int fdatasync(int fd) {
+  static auto real = reinterpret_cast<Sync>(dlsym(RTLD_NEXT, "fdatasync"));
+  wait_a_while();
+  return real(fd);
+}
--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -426,7 +426,8 @@
       if (after ? e.generation > *after : e.body.at("lifecycle") != "removed") instances.push_back(e.body);
     return {{"generation", generation_}, {"reset", !after}, {"instances", std::move(instances)}};
   }
-  bool mute = false;  // it takes calls and answers none
+  bool mute = false;                   // it takes calls and answers none
+  std::uint64_t calls = 0, whole = 0;  // that came; of them for the whole list
 
  private:
   struct Entry {
@@ -447,6 +448,8 @@
         auto wait = whole(line, "wait_ms=").value_or(0);
         in_.consume(head + 4);
         waiting_ = true;
+        ++owner_.calls;
+        owner_.whole += !after_;
         owner_.loop().cancel(&timer_);
         if (!after_ || owner_.generation_ > *after_ || wait <= 0)
           reply();
@@ -770,7 +773,13 @@
                    {"opened", f.opened}};
   for (auto& b : rules_.breaches())
     breaches.push_back({{"rule", name_of(b.rule)}, {"count", b.count}, {"first", b.first}});
-  return {{"servers", servers}, {"breaches", breaches}, {"drain_last_send_ms", rules_.drain_last_send_ms()}};
+  std::uint64_t calls = 0, whole = 0;
+  discovery_->call([&] { calls = discovery_->calls, whole = discovery_->whole; });
+  return {{"servers", servers},
+          {"breaches", breaches},
+          {"drain_last_send_ms", rules_.drain_last_send_ms()},
+          {"list_calls", calls},
+          {"whole_list_calls", whole}};
 }
 
 }  // namespace linenwinch::lab
--- a/src/lab/thread.h
+++ b/src/lab/thread.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <thread>
 
-#include "workers/mailbox.h"
+#include "net/mailbox.h"
 
 namespace linenwinch::lab {
 
@@ -28,7 +28,7 @@
 
  private:
   net::Loop loop_;
-  workers::Mailbox mailbox_;
+  net::Mailbox mailbox_;
   std::function<void()> end_of_turn_;
   int cpu_;
   std::thread thread_;
--- a/src/net/mailbox.h
+++ b/src/net/mailbox.h
@@ -9,14 +9,14 @@
 
 #include "net/wake.h"
 
-namespace linenwinch::workers {
+namespace linenwinch::net {
 
 class Mailbox {
  public:
   using Call = std::function<void()>;
   // `more`: further work that must keep the loop from sleeping; it runs in the loop's thread.
   explicit Mailbox(
-      net::Loop& loop, std::function<bool()> more = [] { return false; })
+      Loop& loop, std::function<bool()> more = [] { return false; })
       : wake_(loop,
               [this, more = std::move(more)] { return waiting_.load(std::memory_order_acquire) || more(); }) {
   }
@@ -50,7 +50,7 @@
   std::mutex mutex_;  // held for a push or a swap only
   std::vector<Call> calls_;
   std::atomic<bool> waiting_{false};
-  net::Wake wake_;
+  Wake wake_;
 };
 
-}  // namespace linenwinch::workers
+}  // namespace linenwinch::net
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -94,10 +94,15 @@
 
 void Dispatcher::attempt_ended(AttemptEnd end) { ends_.push_back(std::move(end)); }
 void Dispatcher::probe_ended(routing::ProbeResult result) {
+  if (facts_) facts_->saw(result.server, result.ok);
   if (others_ && result.ok) others_->probed(result);
   probes_.push_back(std::move(result));
 }
 
+void Dispatcher::fact(routing::ProbeResult result, Micros age) {
+  if (facts_ && facts_->told(loop_.now(), result, age)) probes_.push_back(std::move(result));
+}
+
 ClientPort* Dispatcher::client_of(RequestId request) {
   auto it = open_.find(request);
   return it == open_.end() ? nullptr : it->second.client;
@@ -111,6 +116,7 @@
     }
     pool_.give_back(end.connection);
   }
+  if (facts_) facts_->saw(end.result.server, end.result.ending);
   // A request that is no longer open here has had its end, whatever this attempt brought.
   end.result.closed = open_.count(end.result.request) == 0;
   decider_.report(loop_.now(), std::move(end.result));
@@ -144,6 +150,8 @@
     case What::kCancel:
       return pool_.cancel(d.request, d.attempt);
     case What::kProbe:
+      if (facts_)
+        if (auto fact = facts_->answer(loop_.now(), d.server)) return probes_.push_back(std::move(*fact));
       ++counters_.probes;
       return pool_.probe(d.server);
   }
@@ -171,6 +179,7 @@
   do {
     for (auto& [update, cached] : std::exchange(lists_, {})) {
       pool_.update(update);
+      if (facts_ && update.reset) facts_->keep(update.members);
       decider_.update(now, update, cached);
     }
     for (auto& end : std::exchange(ends_, {})) settle(end);
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -15,6 +16,7 @@
 #include "proxy/ports.h"
 #include "proxy/server_pool.h"
 #include "routing/decider.h"
+#include "routing/facts.h"
 
 namespace linenwinch::proxy {
 
@@ -40,6 +42,9 @@
   void list(discovery::MemberUpdate update, bool cached = false);
   // A probe of another proxy, whose result counts here too.
   void heard(routing::ProbeResult result) { probes_.push_back(std::move(result)); }
+  // Facts of the owner of a set's probes count here from now on, and stand for probes of its own.
+  void use_facts() { facts_.emplace(); }
+  void fact(routing::ProbeResult result, Micros age);
   // Takes a request; `request.id` is given here. The answer comes through the port, never within this call.
   // 0: a request of the same name is open. Both would reach the data server as attempts of one request.
   RequestId submit(ClientPort* client, routing::Request request, std::string_view name);
@@ -78,6 +83,7 @@
   std::vector<std::pair<discovery::MemberUpdate, bool>> lists_;
   std::vector<AttemptEnd> ends_;
   std::vector<routing::ProbeResult> probes_;
+  std::optional<routing::FactBook> facts_;
   std::vector<RequestId> left_;
   std::vector<routing::Request> new_;
   net::Loop::TimerId due_ = net::Loop::kNoTimer;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -44,9 +44,27 @@
 
 Proxy::Proxy(net::Loop& loop, routing::Decider& decider, ProxyOptions options, net::Log log)
     : Proxy(loop, decider, std::move(options), std::move(log), nullptr) {
+  generation_ = options_.known.generation;
+  if (options_.watches) watch_discovery(true);
+}
+
+void Proxy::watch_discovery(bool on) {
+  if (!on) return discovery_.reset();
+  if (discovery_) return;
   discovery_.emplace(
-      loop_, options_.discovery, options_.known.generation, options_.pace,
-      [this](discovery::MemberUpdate update) { dispatcher_.list(std::move(update)); }, log_);
+      loop_, options_.discovery, generation_, options_.pace,
+      [this](discovery::MemberUpdate update) {
+        generation_ = update.generation;
+        dispatcher_.list(std::move(update));
+      },
+      log_);
+  if (running_) discovery_->start();
+}
+
+void Proxy::given(discovery::MemberUpdate update) {
+  if (update.generation < generation_) return;
+  generation_ = update.generation;
+  dispatcher_.list(std::move(update));
 }
 
 Proxy::Proxy(net::Loop& loop, routing::Decider& decider, ProxyOptions options, net::Log log,
@@ -90,6 +108,7 @@
   options_.descriptors = options.descriptors;
   options_.memory = options.memory;
   options_.pool = options.pool;
+  options_.discovery = options.discovery;
   dispatcher_.pool().set_limits(options.pool);
   if (discovery_) discovery_->move_to(options.discovery);
 }
@@ -97,6 +116,7 @@
 int Proxy::port() const { return net::local_port(listener_.get()); }
 
 void Proxy::run() {
+  running_ = true;
   if (discovery_) discovery_->start();
   loop_.run([this] { end_of_turn(); });
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -23,6 +23,8 @@
   // address that they share; otherwise they are given to it by adopt().
   std::uint32_t number = 0, count = 1;
   bool listens = true;
+  // False: lists are given by list(), until watch_discovery() says that nobody gives them any more.
+  bool watches = true;
 };
 
 class Proxy : public SessionOwner {
@@ -40,6 +42,10 @@
   // Takes over what may change under load: discovery's address, descriptors, the pool's limits.
   void reconfigure(const ProxyOptions& options);
   int port() const;
+  // Asks discovery itself, or no longer: for one whose lists are given to it.
+  void watch_discovery(bool on);
+  // For one that does not watch, in its own thread. A list that is older than what is known changes nothing.
+  void given(discovery::MemberUpdate update);
   // For one of several, all in its own thread.
   void list(discovery::MemberUpdate update, bool cached) { dispatcher_.list(std::move(update), cached); }
   void adopt(net::Fd client);
@@ -84,9 +90,10 @@
   Neighbours* others_;
   Dispatcher dispatcher_;
   std::optional<discovery::Keeper> discovery_;
+  std::int64_t generation_ = 0;  // of the newest list, whoever gave it
   Listener on_listener_;
   net::Fd listener_;
-  bool accept_again_ = false, was_ready_ = false;
+  bool accept_again_ = false, was_ready_ = false, running_ = false;
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
   std::vector<std::unique_ptr<ClientSession>> closed_;  // until the end of the turn in which they were
   std::vector<ClientSession*> to_flush_;
--- /dev/null
+++ b/src/state/writer.cpp
@@ -0,0 +1,53 @@
+#include "state/writer.h"
+
+#include <pthread.h>
+
+#include <utility>
+
+namespace linenwinch::state {
+
+Writer::Writer(std::unique_ptr<Store> store, Told told)
+    : store_(std::move(store)), told_(std::move(told)), thread_([this] { run(); }) {
+  pthread_setname_np(thread_.native_handle(), "state");
+}
+
+Writer::~Writer() {
+  {
+    std::lock_guard lock(mutex_);
+    stopped_ = true;
+  }
+  more_.notify_one();
+  thread_.join();
+}
+
+void Writer::write(std::uint64_t number, Batch batch) {
+  {
+    std::lock_guard lock(mutex_);
+    queue_.emplace_back(number, std::move(batch));
+  }
+  more_.notify_one();
+}
+
+void Writer::run() {
+  std::string failed;
+  while (true) {
+    std::vector<std::pair<std::uint64_t, Batch>> taken;
+    {
+      std::unique_lock lock(mutex_);
+      more_.wait(lock, [this] { return stopped_ || !queue_.empty(); });
+      if (queue_.empty()) return;
+      taken.swap(queue_);
+    }
+    auto number = taken.back().first;
+    Batch all;
+    for (auto& [n, batch] : taken) all.add(std::move(batch));
+    if (failed.empty()) try {
+        store_->commit(all);
+      } catch (const StoreError& e) {
+        failed = e.what();
+      }
+    told_(number, failed);
+  }
+}
+
+}  // namespace linenwinch::state
--- /dev/null
+++ b/src/state/writer.h
@@ -0,0 +1,43 @@
+// Writes to a store on a thread of its own. Batches are carried out in order; those that come while one is
+// under way go together into the next transaction. The first that fails is the last: nothing after it is
+// tried, since nobody could say what the disk then holds.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "state/store.h"
+
+namespace linenwinch::state {
+
+class Writer {
+ public:
+  // Told in the writer's thread: all up to this number are durable; or `error` is not empty, and none will be
+  // any more.
+  using Told = std::function<void(std::uint64_t number, const std::string& error)>;
+  Writer(std::unique_ptr<Store> store, Told told);
+  ~Writer();  // after what was given to it is written
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  // Never blocks for the disk. What waits is bounded by what the caller lets be unwritten.
+  void write(std::uint64_t number, Batch batch);
+
+ private:
+  void run();
+
+  std::unique_ptr<Store> store_;
+  Told told_;
+  std::mutex mutex_;
+  std::condition_variable more_;
+  std::vector<std::pair<std::uint64_t, Batch>> queue_;
+  bool stopped_ = false;
+  std::thread thread_;
+};
+
+}  // namespace linenwinch::state
--- a/src/workers/decision_thread.h
+++ b/src/workers/decision_thread.h
@@ -8,7 +8,7 @@
 
 #include "proxy/server_pool.h"
 #include "routing/facade.h"
-#include "workers/mailbox.h"
+#include "net/mailbox.h"
 #include "workers/remote_decider.h"
 
 namespace linenwinch::workers {
@@ -28,7 +28,7 @@
 
   // From any thread.
   void wake() { mailbox_.notify(); }
-  void post(Mailbox::Call call) { mailbox_.post(std::move(call)); }
+  void post(net::Mailbox::Call call) { mailbox_.post(std::move(call)); }
   void list(discovery::MemberUpdate update, bool cached);
   void set_limits(proxy::PoolLimits limits);
   std::uint64_t probes() const { return probes_made_.load(std::memory_order_relaxed); }
@@ -44,7 +44,7 @@
   proxy::ClientPort* client_of(routing::RequestId) override { return nullptr; }
 
   net::Loop loop_;
-  Mailbox mailbox_;
+  net::Mailbox mailbox_;
   std::unique_ptr<routing::Facade> facade_;
   proxy::ServerPool pool_;
   std::function<void(std::size_t)> wake_;
--- a/src/workers/group.cpp
+++ b/src/workers/group.cpp
@@ -152,7 +152,7 @@
   std::size_t number_;
   net::Log log_;
   net::Loop loop_;
-  Mailbox mailbox_;
+  net::Mailbox mailbox_;
   std::unique_ptr<RemoteDecider> remote_;
   std::unique_ptr<routing::Facade> facade_;
   std::unique_ptr<routing::LocalDecider> local_;
--- a/src/workers/group.h
+++ b/src/workers/group.h
@@ -91,7 +91,7 @@
   std::vector<std::unique_ptr<Worker>> workers_;
   std::unique_ptr<Acceptor> acceptor_;
   std::optional<discovery::Keeper> discovery_;
-  Mailbox mailbox_;
+  net::Mailbox mailbox_;
   std::atomic<bool> told_ready_{false};
   bool stopping_ = false;
   std::size_t running_ = 0;
--- a/src/workers/remote_decider.h
+++ b/src/workers/remote_decider.h
@@ -6,7 +6,7 @@
 #include "routing/decider.h"
 #include "workers/channel.h"
 #include "workers/fence.h"
-#include "workers/mailbox.h"
+#include "net/mailbox.h"
 
 namespace linenwinch::workers {
 
--- a/tests/workers/group_test.cpp
+++ b/tests/workers/group_test.cpp
@@ -39,7 +39,7 @@
       g.proxy.known = config.known;
       group = std::make_unique<workers::Group>(
           control, g, [](const std::string&) { return [](net::Level, const std::string&) {}; });
-      workers::Mailbox mailbox(control);
+      net::Mailbox mailbox(control);
       port = group->port();
       started.set_value();
       group->run();
