Probe on behalf of all only what somebody wishes to know, and primaries once a second

Now a proxy whose module wants a probe says so, hundreds of wishes are one on the way, and the owner probes that set for 15 s, replicas at half of the tightest bound.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -157,7 +157,8 @@
   routing::LocalDecider decider(facade);
   options.watches = !told.own.group;
   proxy::Proxy proxy(loop, decider, options, log);
-  if (told.own.group) group.emplace(loop, proxy, *told.own.group, options, config.seed, logger.sink("group"));
+  if (told.own.group)
+    group.emplace(loop, proxy, *told.own.group, options, config.settings, config.seed, logger.sink("group"));
   Signals signals(
       loop,
       [&] {
--- a/src/app/group_runner.cpp
+++ b/src/app/group_runner.cpp
@@ -11,6 +11,8 @@
 
 // Beside what the configuration allows the proxy: links to hundreds of followers, the store, probes.
 constexpr rlim_t kGroupDescriptors = 2048;
+// Between two probes of a server by its owner: where no class bounds the age, and at least.
+constexpr group::Micros kNoBound{500'000}, kLeastProbeEvery{20'000};
 
 // The owner's probes go over connections of their own, in the group's thread.
 class PoolProber : public group::Prober, private proxy::ServerEvents {
@@ -33,7 +35,8 @@
 }  // namespace
 
 GroupRunner::GroupRunner(net::Loop& loop, proxy::Proxy& proxy, group::Options options,
-                         const proxy::ProxyOptions& of, std::uint64_t seed, net::Log log)
+                         const proxy::ProxyOptions& of, const badgercourse::Settings& settings,
+                         std::uint64_t seed, net::Log log)
     : loop_(loop), proxy_(proxy), mailbox_(loop) {
   signal(SIGXFSZ, SIG_IGN);  // a limit on files is a full disk, not the end
   rlimit limit{};
@@ -42,6 +45,13 @@
     setrlimit(RLIMIT_NOFILE, &limit);
   }
   options.seed = seed;
+  if (options.probe_every.count() == 0) {
+    // A position holds until the bound is over: half of it leaves the other half for lag and the way here.
+    options.probe_every = kNoBound;
+    for (auto& c : settings.classes)
+      if (c.bound.count() > 0) options.probe_every = std::min(options.probe_every, c.bound / 2);
+    options.probe_every = std::max(options.probe_every, kLeastProbeEvery);
+  }
   group::Hooks hooks;
   hooks.list = [this](discovery::MemberUpdate update) {
     mailbox_.post([this, update = std::move(update)] { proxy_.given(update); });
@@ -55,7 +65,7 @@
   hooks.prober = [limits = of.pool, log](net::Loop& group_loop, group::Probed probed) {
     return std::make_unique<PoolProber>(group_loop, limits, log, std::move(probed));
   };
-  proxy.dispatcher().use_facts();
+  proxy.dispatcher().use_facts([this](const std::string& server) { node_->want(server); });
   proxy.before_turn_end = [this] { mailbox_.drain(); };
   node_ = std::make_unique<group::Node>(std::move(options), of.discovery, of.pace, of.known, std::move(hooks),
                                         std::move(log));
--- a/src/app/group_runner.h
+++ b/src/app/group_runner.h
@@ -13,7 +13,7 @@
  public:
   // `loop` is the proxy's, which is not running yet. Throws std::runtime_error with one line.
   GroupRunner(net::Loop& loop, proxy::Proxy& proxy, group::Options options, const proxy::ProxyOptions& of,
-              std::uint64_t seed, net::Log log);
+              const badgercourse::Settings& settings, std::uint64_t seed, net::Log log);
   ~GroupRunner();
   void start() { node_->start(); }
   void leave() { node_->leave(); }
--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -33,6 +33,12 @@
 constexpr Micros kFactLife = 1s;
 // A probe that has not ended by then never will.
 constexpr Micros kProbeLost = 2s;
+// A set is probed for so long after somebody wished to know: facts that come keep others from wishing, so
+// each end of it costs a probe of many. Wishes are passed on so often, whoever has them.
+constexpr Micros kWanted = 15s, kWantEvery = 250ms;
+// A primary's data is never old; it is asked only whether it still is one.
+constexpr Micros kPrimaryEvery = 1s;
+constexpr std::size_t kMostSets = 4096;
 // The list service lets a call wait for 5 s and is given 1 s more: an owner that heard nothing in 7 does not
 // know the list any more.
 constexpr Micros kListKnown = 7s;
@@ -150,6 +156,10 @@
                                [&](auto& m) { return m.id == server; });
         probing_.erase(server);
         if (it == known_.members.end() || !ok || to_tell_[it->cell].size() >= 256) return;
+        if (load.find("x1=1") != std::string::npos || load.find("x1:1") != std::string::npos)
+          primary_asked_[server] = net::monotonic_now();
+        else
+          primary_asked_.erase(server);
         to_tell_[it->cell].push_back(
             json::array({server, load, taken.count(), unix_ms() - taken.count() / 1000}));
       });
@@ -282,8 +292,10 @@
       return loop_.now() +
              Micros(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(span.count())));
     };
-    ask_timer_ = loop_.at(spread(options_.lease / 8), [this] { ask(); });
-    work_timer_ = loop_.at(spread(kWorkEvery), [this] { work(); });
+    if (!options_.jobs.empty()) {
+      ask_timer_ = loop_.at(spread(options_.lease / 8), [this] { ask(); });
+      work_timer_ = loop_.at(spread(kWorkEvery), [this] { work(); });
+    }
     alive_timer_ = loop_.at(spread(kAliveEvery), [this] { watch_alone(); });
     loop_.run([this] { end_of_turn(); });
   });
@@ -480,6 +492,8 @@
     deliver(m);
   } else if (t == "facts") {
     facts(m, &link);
+  } else if (t == "want") {
+    want_set(m.at("set").get<std::int64_t>(), &link);
   } else if (t == "follow") {
     auto it = downstream_.find(link.name);
     if (it == downstream_.end() || it->second.link != &link) return;
@@ -765,7 +779,6 @@
 
 void Node::ask() {
   ask_timer_ = loop_.at(loop_.now() + options_.lease / 8, [this] { ask(); });
-  if (options_.jobs.empty() && holder_.jobs().empty()) return;
   auto question = holder_.ask(net::monotonic_now(), willing());
   json holds = json::array();
   for (auto& h : question.holds) holds.push_back(json::array({h.job, h.token, h.progress}));
@@ -846,7 +859,7 @@
   mailbox_.post([this] {
     leaving_ = true;
     loop_.cancel(&ask_timer_);
-    ask();  // willing to do nothing: no job comes back
+    if (!options_.jobs.empty()) ask();  // willing to do nothing: no job comes back
     for (auto& job : holder_.jobs()) give_up(job);
     if (raft_ && raft_->leads()) {
       say(Level::kInfo, "hands leadership over: told to stop");
@@ -897,7 +910,12 @@
     }
   }
   for (auto& job : holder_.jobs())
-    if (auto set = set_of(job); set && holder_.holds(job, now)) probe_set(*set);
+    if (auto set = set_of(job); set && holder_.holds(job, now)) {
+      if (wanted(*set))
+        probe_set(*set);
+      else
+        holder_.worked(job);  // nobody wishes to know: it is ready, which is all there is to do
+    }
   for (auto& [set, seen] : to_tell_) {
     if (seen.empty()) continue;
     auto job = fmt::format("probe {}", set);
@@ -961,13 +979,11 @@
   try {
     auto update = discovery::parse_members(job->data);
     update.reset = true;
-    if (known_published_ && update.generation == known_.generation && job->data == publish_data_ &&
-        !to_publish_ && false)
-      return;
     known_ = update;
     known_published_ = true;
     list_heard_ = std::max(list_heard_, net::monotonic_now());
     if (prober_) prober_->servers(known_);
+    primary_asked_.clear();
     hooks_.list(std::move(update));
   } catch (const std::invalid_argument& e) {
     say(Level::kError, fmt::format("the published list cannot be read: {}", e.what()));
@@ -982,12 +998,49 @@
   last = now;
   for (auto& m : known_.members) {
     if (m.cell != set || m.lifecycle != discovery::Lifecycle::kUp || probing_.count(m.id)) continue;
+    auto primary = primary_asked_.find(m.id);
+    if (primary != primary_asked_.end() && now - primary->second < kPrimaryEvery) continue;
     if (!holder_.holds(fmt::format("probe {}", set), net::monotonic_now())) return;
     probing_[m.id] = now;
     prober_->probe(m.id);
   }
 }
 
+bool Node::wanted(std::int64_t set) const {
+  auto it = wanted_.find(set);
+  return it != wanted_.end() && net::monotonic_now() - it->second.first < kWanted;
+}
+
+void Node::want(const std::string& server) {
+  mailbox_.post([this, server] {
+    for (auto& m : known_.members)
+      if (m.id == server) return want_set(m.cell, nullptr);
+  });
+}
+
+// To the owner of the set's probes, by way of the voters; hundreds of wishes are one.
+void Node::want_set(std::int64_t set, peers::Link* from) {
+  if (wanted_.size() >= kMostSets && !wanted_.count(set)) wanted_.clear();
+  auto now = net::monotonic_now();
+  auto [it, fresh] = wanted_.try_emplace(set, now, now);
+  it->second.first = now;
+  if (!fresh && now - it->second.second < kWantEvery) return;
+  it->second.second = now;
+  json message = {{"t", "want"}, {"set", set}};
+  if (!raft_) {
+    auto up = dialed_.find(upstream_);
+    if (!from && up != dialed_.end() && up->second.link) up->second.link->send(message);
+    return;
+  }
+  if (!from || from->kind != "voter")
+    for (auto& [name, d] : dialed_)
+      if (d.link && d.link->greeted) d.link->send(message);
+  auto* job = ledger_.job(fmt::format("probe {}", set));
+  if (!job) return;
+  if (auto below = downstream_.find(job->owner); below != downstream_.end() && below->second.link != from)
+    below->second.link->send(message);
+}
+
 // From the owner to everyone: a follower tells its voter, a voter all voters and its followers.
 void Node::spread(const json& message, peers::Link* from) {
   auto text = peers::frame(message);
--- a/src/group/node.h
+++ b/src/group/node.h
@@ -69,6 +69,9 @@
   // Hands its jobs and leadership over; at most about a second. The thread goes on until stop().
   void leave();
   void stop();
+  // This process wishes to know how far a server is and no fact said so: the owner of its set is to probe it
+  // for a while. From any thread.
+  void want(const std::string& server);
   // What may change while it runs.
   void reconfigure(std::string discovery, std::vector<NodeAddress> nodes);
   int port() const { return port_; }
@@ -138,7 +141,9 @@
   void publish();
   void probe_set(std::int64_t set);
   void spread(const json& message, peers::Link* from);
+  bool wanted(std::int64_t set) const;
   void facts(const json& message, peers::Link* from);
+  void want_set(std::int64_t set, peers::Link* from);
   void published_list();
   void watch_alone();
   json tool(const json& message);
@@ -219,9 +224,11 @@
 
   // jobs `probe SET`
   std::unique_ptr<Prober> prober_;
-  std::map<std::int64_t, Micros> probed_at_;           // of a set
-  std::map<std::string, Micros> probing_;              // since when
-  std::map<std::int64_t, std::vector<json>> to_tell_;  // facts by set
+  std::map<std::int64_t, Micros> probed_at_;                  // of a set
+  std::map<std::int64_t, std::pair<Micros, Micros>> wanted_;  // of a set: when last, and when passed on
+  std::map<std::string, Micros> probing_;                     // since when
+  std::map<std::string, Micros> primary_asked_;               // servers that said they were primary
+  std::map<std::int64_t, std::vector<json>> to_tell_;         // facts by set
 };
 
 }  // namespace linenwinch::group
--- a/src/group/options.h
+++ b/src/group/options.h
@@ -24,8 +24,8 @@
   std::vector<std::string> jobs;   // of the fleet's work, what this node would do: list, probe
   Micros heartbeat{100'000}, election_min{600'000}, election_max{1'200'000};
   Micros lease{2'000'000};
-  Micros fallback{3'000'000};   // without word of the list for so long, a proxy asks by itself
-  Micros probe_every{100'000};  // a server, by the owner of its set
+  Micros fallback{3'000'000};  // without word of the list for so long, a proxy asks by itself
+  Micros probe_every{0};       // a replica, by the owner of its set; 0: half of the tightest bound on age
   std::uint64_t seed = 0;
 
   bool voter() const;
--- a/src/lab/daemon.cpp
+++ b/src/lab/daemon.cpp
@@ -13,6 +13,9 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <mutex>
+#include <random>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -37,13 +40,21 @@
 
 }  // namespace
 
-// A port that nobody listens on at the moment. Earlier builds don't tell which one the system picked for
-// them.
+// Below the ports that the kernel gives to outgoing connections, so that none of those takes it before its
+// process listens there, or while that is restarted.
 int free_port() {
+  static std::mt19937 random{std::random_device()()};
+  static std::mutex mutex;
+  static std::set<int> given;  // nobody listens there yet, perhaps
+  std::lock_guard lock(mutex);
   std::string error;
-  auto fd = net::listen_on(*net::parse_address("127.0.0.1:0"), &error);
-  if (!fd) throw std::runtime_error("no port is free: " + error);
-  return net::local_port(fd.get());
+  for (int i = 0; i < 1000; ++i) {
+    int port = std::uniform_int_distribution<int>(12000, 31999)(random);
+    if (net::listen_on(*net::parse_address(fmt::format("127.0.0.1:{}", port)), &error) &&
+        given.insert(port).second)
+      return port;
+  }
+  throw std::runtime_error("no port is free: " + error);
 }
 
 json lab_settings() {
--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -510,6 +510,12 @@
     o.stand_in.sets = 3;
     o.stand_in.seed = options.seed;
     o.stand_in.threads = 2;
+    // Data servers that do not say whether a read was too old: only positions do, and probes bring them.
+    if (options.lag_ms > 0) {
+      o.stand_in.model.check_age = false;
+      o.stand_in.model.lag = Micros(options.lag_ms * 1000);
+      o.settings = {{"FamilyInfo", {{"Behind", "off"}, {"Positions", false}}}};
+    }
     Rig rig(o);
     if (grouped && !rig.soon([&] { return rig.owners().size() >= 4; }))
       throw std::runtime_error("the jobs found no owners");
@@ -532,7 +538,7 @@
         LoadOptions l;
         l.target = *net::parse_address(fmt::format("127.0.0.1:{}", rig.port(names[i])));
         l.connections = 2;
-        l.rate = 10;
+        l.rate = options.rate;
         l.length = Micros(static_cast<std::int64_t>(options.faults) * 1'000'000);  // seconds
         l.warm_up = Micros(0);
         l.sets = {1, 2, 3};
@@ -555,6 +561,8 @@
         {{"mode", grouped ? "owned" : "alone"},
          {"seed", options.seed},
          {"processes", processes},
+         {"lag_ms", options.lag_ms},
+         {"rate_each", options.rate},
          {"seconds", seconds},
          {"asked", sum.asked},
          {"served_share", sum.asked ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0},
--- a/src/lab/faults/experiments.h
+++ b/src/lab/faults/experiments.h
@@ -14,6 +14,8 @@
   int processes = 0;  // 0: the experiment's own number
   std::uint64_t seed = 1;
   int faults = 50;      // of one seed
+  double rate = 10;     // savings: requests a second at each proxy
+  int lag_ms = 0;       // savings: of replicas that do not check the age themselves; 0: they check
   std::string history;  // write it to this file; empty: not
 };
 
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -150,8 +150,10 @@
     case What::kCancel:
       return pool_.cancel(d.request, d.attempt);
     case What::kProbe:
-      if (facts_)
+      if (facts_) {
         if (auto fact = facts_->answer(loop_.now(), d.server)) return probes_.push_back(std::move(*fact));
+        wanted_(d.server);
+      }
       ++counters_.probes;
       return pool_.probe(d.server);
   }
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -43,7 +43,11 @@
   // A probe of another proxy, whose result counts here too.
   void heard(routing::ProbeResult result) { probes_.push_back(std::move(result)); }
   // Facts of the owner of a set's probes count here from now on, and stand for probes of its own.
-  void use_facts() { facts_.emplace(); }
+  // `wanted`: told of each server that was to be probed and of which no fact says anything.
+  void use_facts(std::function<void(const std::string&)> wanted) {
+    facts_.emplace();
+    wanted_ = std::move(wanted);
+  }
   void fact(routing::ProbeResult result, Micros age);
   // Takes a request; `request.id` is given here. The answer comes through the port, never within this call.
   // 0: a request of the same name is open. Both would reach the data server as attempts of one request.
@@ -84,6 +88,7 @@
   std::vector<AttemptEnd> ends_;
   std::vector<routing::ProbeResult> probes_;
   std::optional<routing::FactBook> facts_;
+  std::function<void(const std::string&)> wanted_;
   std::vector<RequestId> left_;
   std::vector<routing::Request> new_;
   net::Loop::TimerId due_ = net::Loop::kNoTimer;
