--- a/src/lab/faults/commands.cpp
+++ b/src/lab/faults/commands.cpp
@@ -28,8 +28,9 @@
       "processes", po::value<int>()->default_value(0), "0: the experiment's own number")(
       "faults", po::value<int>()->default_value(50), "of one seed; savings: seconds of load")(
       "history", po::value<std::string>()->default_value(""),
-      "write the events of the last seed to this file")("rate", po::value<double>()->default_value(10),
-                                                        "savings: requests a second at each proxy")(
+      "write the events of the last seed to this file")(
+      "rate", po::value<double>()->default_value(10),
+      "savings: requests a second at each proxy; 0: closed loop")(
       "lag-ms", po::value<int>()->default_value(0),
       "savings: replicas so far behind that do not check the age themselves")(
       "json", po::value<std::string>(), "write the rows to this file")("help", "this text");
@@ -62,7 +63,7 @@
     options.processes = std::clamp(given["processes"].as<int>(), 0, 300);
     options.seed = given["seed"].as<std::uint64_t>() + static_cast<std::uint64_t>(i);
     options.faults = std::clamp(given["faults"].as<int>(), 1, 10000);
-    options.rate = std::clamp(given["rate"].as<double>(), 0.1, 1e5);
+    options.rate = std::clamp(given["rate"].as<double>(), 0.0, 1e5);
     options.lag_ms = std::clamp(given["lag-ms"].as<int>(), 0, 10000);
     options.history = given["history"].as<std::string>();
     if (given.count("quick") && given["faults"].defaulted()) options.faults = 5;
--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -19,6 +19,8 @@
 using namespace std::chrono_literals;
 
 constexpr int kClients = 4, kRegisters = 8;
+// A client turns to the next node after that: it is the grain of the times without a leader.
+constexpr int kClientPatienceMs = 200;
 // Calls on one register before the next one is taken: the search for an order of them stays short.
 constexpr int kCallsOfRegister = 60;
 constexpr Micros kSettled{30'000'000};  // after the last fault, by when all must agree
@@ -74,7 +76,8 @@
       if (o.write) o.value = fmt::format("{}.{}", number, n);
       o.called = rig_.history().now();
       try {
-        if (!call) call = std::make_unique<app::FleetCall>(rig_.address(rig_.voters()[at]), "lab", 700);
+        if (!call)
+          call = std::make_unique<app::FleetCall>(rig_.address(rig_.voters()[at]), "lab", kClientPatienceMs);
         auto answer = call->ask(o.write ? json{{"do", "put"}, {"key", key}, {"value", o.value}}
                                         : json{{"do", "get"}, {"key", key}});
         auto now = rig_.history().now();
