Test the group's parts by themselves; close the store where its opening fails

Found by the new test of torn files: a store whose opening threw (torn, newer, foreign) kept its file and its lock open, since the destructor of what was not built whole never runs. Now the handle is owned from the moment it exists. Also tests of batches, sums, writer, codec, facts, options, and of the rig's checkers, which must fail where something is wrong.

--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -197,7 +197,7 @@
   auto& voters = rig.voters();
   auto other = victim;
   while (other == victim) other = draw.of(voters);
-  switch (draw.below(jobs ? 11 : 13)) {
+  switch (draw.below(jobs ? 12 : 13)) {
     case 0:
     case 1:
       rig.kill(victim);
@@ -259,11 +259,24 @@
       rig.heal();
       return "slow links";
     }
-    case 11:
+    case 11: {
+      if (jobs) {
+        // What the owner said to one of the others comes only once somebody else owns its jobs.
+        LinkState held;
+        held.hold_there = true;
+        rig.shape(victim, other, held);
+        pause_for(700ms);
+        rig.terminate(victim);
+        pause_for(200ms);
+        rig.heal();
+        rig.start(victim);
+        return "effects come late";
+      }
       rig.slow_disk(victim, 1000);
       pause_for(draw.span(1000, 2500));
       rig.slow_disk(victim, 0);
       return "slow disk";
+    }
     default: {
       // The majority goes and comes back.
       std::vector<std::string> down{victim};
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -26,8 +26,9 @@
 class Sqlite : public Store {
  public:
   Sqlite(const std::string& path, int version) : path_(path) {
-    if (sqlite3_open_v2(path.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr) != SQLITE_OK)
-      fail("opening it");
+    int opened = sqlite3_open_v2(path.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
+    closes_.reset(db_);  // also where what follows throws
+    if (opened != SQLITE_OK) fail("opening it");
     sqlite3_extended_result_codes(db_, 1);
     // One process a directory: the lock is taken with the first transaction and kept. No shared memory then.
     run("PRAGMA locking_mode=EXCLUSIVE");
@@ -51,8 +52,6 @@
     if (!check.row() || check.text(0) != "ok")
       throw StoreError(Fault::kTorn, fmt::format("{} is damaged", path));
   }
-  ~Sqlite() override { sqlite3_close_v2(db_); }
-
   void commit(const Batch& batch) override {
     run("BEGIN");
     try {
@@ -154,8 +153,12 @@
     }
   }
 
+  struct Close {
+    void operator()(sqlite3* db) const { sqlite3_close_v2(db); }
+  };
   std::string path_;
   sqlite3* db_ = nullptr;
+  std::unique_ptr<sqlite3, Close> closes_;
 };
 
 class Memory : public Store {
--- /dev/null
+++ b/tests/fleet/parts_test.cpp
@@ -0,0 +1,317 @@
+// The parts beneath the group, each by itself: store and writer, codec, facts of others, and the checkers of
+// the fault rig, which must fail where something is wrong.
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+
+#include "group/options.h"
+#include "lab/faults/history.h"
+#include "lab/scratch.h"
+#include "peers/codec.h"
+#include "routing/facts.h"
+#include "state/store.h"
+#include "state/writer.h"
+
+namespace linenwinch {
+namespace {
+
+using namespace std::chrono_literals;
+using lab::ScratchFolder;
+using Micros = std::chrono::microseconds;
+
+state::Batch put(const std::string& key, const std::string& value) {
+  state::Batch b;
+  b.changes.emplace_back(key, value);
+  return b;
+}
+
+state::Fault fault_of(const std::function<void()>& call) {
+  try {
+    call();
+  } catch (const state::StoreError& e) {
+    EXPECT_NE(std::string(e.what()), "");
+    return e.fault;
+  }
+  ADD_FAILURE() << "nothing was thrown";
+  return state::Fault::kDisk;
+}
+
+TEST(Store, KeepsWhatWasCommittedAndNothingElse) {
+  ScratchFolder folder;
+  for (bool durable : {true, false}) {
+    auto store = durable ? state::open_store(folder.path(), "t", 1) : state::memory_store();
+    state::Batch b;
+    for (int i = 0; i < 5; ++i) b.changes.emplace_back("k" + std::to_string(i), std::string(1, '\0') + "v");
+    store->commit(b);
+    state::Batch c;
+    c.removals.emplace_back("k1", "k3");
+    c.changes.emplace_back("k2", "again");
+    c.changes.emplace_back("k4", std::nullopt);
+    store->commit(c);
+    if (durable) {
+      store.reset();
+      store = state::open_store(folder.path(), "t", 1);
+    }
+    EXPECT_EQ(store->read("k0"), std::string(1, '\0') + "v");
+    EXPECT_FALSE(store->read("k1"));
+    EXPECT_EQ(store->read("k2"), "again");
+    EXPECT_FALSE(store->read("k4"));
+    EXPECT_EQ(store->scan("k", "l").size(), 3u);
+  }
+}
+
+TEST(Store, BatchesAddedUpDoWhatTheyDoOneByOne) {
+  auto one = state::memory_store(), all = state::memory_store();
+  std::uint64_t x = 7;
+  auto draw = [&](std::uint64_t n) {
+    x = x * 6364136223846793005ull + 1442695040888963407ull;
+    return (x >> 33) % n;
+  };
+  state::Batch sum;
+  for (int i = 0; i < 500; ++i) {
+    state::Batch b;
+    auto key = [&] { return std::string(1, static_cast<char>('a' + draw(20))); };
+    if (draw(3) == 0) {
+      auto from = key(), to = key();
+      if (from < to) b.removals.emplace_back(from, to);
+    }
+    b.changes.emplace_back(key(), draw(4) ? std::optional(std::to_string(i)) : std::nullopt);
+    one->commit(b);
+    sum.add(b);
+  }
+  all->commit(sum);
+  EXPECT_EQ(one->scan("a", "z"), all->scan("a", "z"));
+}
+
+TEST(Store, OneProcessADirectory) {
+  ScratchFolder folder;
+  auto first = state::open_store(folder.path(), "t", 1);
+  EXPECT_EQ(fault_of([&] { state::open_store(folder.path(), "t", 1); }), state::Fault::kLocked);
+  first.reset();
+  EXPECT_NO_THROW(state::open_store(folder.path(), "t", 1));
+}
+
+TEST(Store, TornForeignAndNewerFilesAreToldApart) {
+  ScratchFolder folder;
+  auto path = folder.path() + "/t.db";
+  state::open_store(folder.path(), "t", 2)->commit(put("a", std::string(20000, 'x')));
+  EXPECT_EQ(fault_of([&] { state::open_store(folder.path(), "t", 1); }), state::Fault::kNewer);
+  auto whole = std::filesystem::file_size(path);
+  std::filesystem::resize_file(path, whole / 2);
+  EXPECT_EQ(fault_of([&] { state::open_store(folder.path(), "t", 2)->read("a"); }), state::Fault::kTorn);
+  auto aside = state::set_aside(folder.path(), "t");
+  EXPECT_TRUE(std::filesystem::exists(aside + "/t.db"));
+  EXPECT_FALSE(state::open_store(folder.path(), "t", 2)->read("a"));
+  std::ofstream(folder.path() + "/noise.db")
+      << "this was never a database, and it is long enough to be read as one";
+  EXPECT_EQ(fault_of([&] { state::open_store(folder.path(), "noise", 1); }), state::Fault::kTorn);
+  EXPECT_EQ(fault_of([&] { state::open_store("/proc/nowhere", "t", 1); }), state::Fault::kDisk);
+}
+
+TEST(Store, AFlippedBitInAValueIsFoundByItsSum) {
+  ScratchFolder folder;
+  auto path = folder.path() + "/t.db";
+  state::open_store(folder.path(), "t", 1)->commit(put("key", std::string(3000, 'q')));
+  std::string text;
+  {
+    std::ifstream file(path, std::ios::binary);
+    text.assign(std::istreambuf_iterator<char>(file), {});
+  }
+  auto at = text.find("qqqqqqqq");
+  ASSERT_NE(at, std::string::npos);
+  text[at + 100] ^= 4;
+  std::ofstream(path, std::ios::binary) << text;
+  EXPECT_EQ(fault_of([&] { state::open_store(folder.path(), "t", 1)->read("key"); }), state::Fault::kTorn);
+}
+
+TEST(Writer, TellsInOrderAndAfterAFailureNothingIsDurable) {
+  struct Failing : state::Store {
+    void commit(const state::Batch& b) override {
+      for (auto& [key, value] : b.changes) {
+        if (key == "bad") throw state::StoreError(state::Fault::kDisk, "no space");
+        kept.push_back(key);
+      }
+    }
+    std::optional<std::string> read(const std::string&) override { return {}; }
+    std::vector<std::pair<std::string, std::string>> scan(const std::string&, const std::string&) override {
+      return {};
+    }
+    std::vector<std::string>& kept;
+    explicit Failing(std::vector<std::string>& k) : kept(k) {}
+  };
+  std::vector<std::string> kept;
+  std::vector<std::pair<std::uint64_t, std::string>> told;
+  {
+    std::mutex mutex;
+    std::condition_variable more;
+    state::Writer writer(std::make_unique<Failing>(kept), [&](std::uint64_t n, const std::string& error) {
+      std::lock_guard lock(mutex);
+      told.emplace_back(n, error);
+      more.notify_one();
+    });
+    for (std::uint64_t i = 1; i <= 3; ++i) writer.write(i, put("k" + std::to_string(i), ""));
+    {
+      std::unique_lock lock(mutex);
+      more.wait(lock, [&] { return !told.empty() && told.back().first == 3; });
+    }
+    writer.write(4, put("bad", ""));
+    writer.write(5, put("late", ""));
+  }
+  EXPECT_EQ(kept, (std::vector<std::string>{"k1", "k2", "k3"}));
+  ASSERT_FALSE(told.empty());
+  EXPECT_EQ(told.back().first, 5u);
+  EXPECT_EQ(told.back().second, "no space");
+  for (auto& [n, error] : told) EXPECT_EQ(error.empty(), n <= 3);
+}
+
+TEST(Codec, MessagesComeBackAsTheyWereAndNewKeysArePassedOver) {
+  consensus::Message m;
+  m.type = consensus::Message::Type::kAppend;
+  m.from = 1ull << 51;
+  m.to = 3;
+  m.term = 9;
+  m.index = 77;
+  m.log_term = 8;
+  m.commit = 70;
+  m.round = 5;
+  m.reject = m.forced = true;
+  m.entries = {{9, 78, consensus::Kind::kCommand, std::string("\0\xff x", 4)}};
+  auto snapshot = std::make_shared<consensus::Snapshot>();
+  snapshot->index = 4;
+  snapshot->members.voters = {1, 2, 3};
+  snapshot->data = "state";
+  m.snapshot = snapshot;
+  auto sent = peers::raft_to_json(m);
+  sent["of tomorrow"] = {1, 2};
+  nlohmann::json got;
+  std::size_t size = 0;
+  auto bytes = peers::frame(sent);
+  for (std::size_t n = 0; n < bytes.size(); ++n)
+    ASSERT_EQ(peers::parse_frame(std::string_view(bytes).substr(0, n), &got, &size),
+              peers::FrameParse::kMore);
+  ASSERT_EQ(peers::parse_frame(bytes + "next", &got, &size), peers::FrameParse::kOk);
+  EXPECT_EQ(size, bytes.size());
+  auto back = peers::raft_from_json(got);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->from, m.from);
+  EXPECT_EQ(back->entries, m.entries);
+  EXPECT_EQ(back->snapshot->data, "state");
+  EXPECT_EQ(back->snapshot->members.voters.size(), 3u);
+  EXPECT_EQ(peers::raft_to_json(*back), peers::raft_to_json(m));
+  got["k"] = 99;  // a kind of a newer version
+  EXPECT_FALSE(peers::raft_from_json(got));
+  EXPECT_FALSE(peers::decode_entry("noise"));
+  EXPECT_FALSE(peers::decode_snapshot("\x82\x01"));
+}
+
+TEST(Codec, NoiseAndGiganticFramesAreBadAtOnce) {
+  nlohmann::json got;
+  std::size_t size = 0;
+  EXPECT_EQ(peers::parse_frame(std::string("\x40\0\0\0", 4), &got, &size), peers::FrameParse::kBad);
+  EXPECT_EQ(peers::parse_frame(std::string("\0\0\0\0", 4), &got, &size), peers::FrameParse::kBad);
+  EXPECT_EQ(peers::parse_frame(std::string("\0\0\0\3xyz", 7), &got, &size), peers::FrameParse::kBad);
+  EXPECT_EQ(peers::parse_frame(peers::frame({{"x", 1}}), &got, &size), peers::FrameParse::kBad);  // no kind
+}
+
+TEST(Facts, AreNoFresherThanTheySayAndNotBelievedAgainstOwnEyes) {
+  routing::FactBook book;
+  auto fact = [](const std::string& load) { return routing::ProbeResult{"s", true, 1ms, load}; };
+  EXPECT_TRUE(book.told(10s, fact("new"), 100ms));
+  EXPECT_FALSE(book.told(10s, fact("older"), 300ms));  // came later, was seen earlier
+  EXPECT_EQ(book.answer(10s, "s")->load, "new");
+  EXPECT_FALSE(book.answer(10s + routing::FactBook::kFresh, "s"));  // 100 ms old when it came
+  EXPECT_FALSE(book.told(11s, fact("stale"), routing::FactBook::kFresh + 1us));
+  EXPECT_TRUE(book.told(12s, fact("good"), 0us));
+  book.saw("s", routing::Ending::kTimedOut);
+  EXPECT_FALSE(book.answer(12s, "s"));
+  EXPECT_FALSE(book.told(12s, fact("good again"), 0us));
+  book.saw("s", routing::Ending::kServed);
+  EXPECT_TRUE(book.told(12s, fact("believed"), 0us));
+  book.keep({});
+  EXPECT_EQ(book.size(), 0u);
+}
+
+TEST(GroupOptions, WhatCannotBeIsToldInOneLine) {
+  group::Options good;
+  good.installation = "lab";
+  good.name = "a";
+  good.listen = "127.0.0.1:1";
+  good.directory = "d";
+  good.nodes = {{"a", "127.0.0.1:1"}, {"b", "127.0.0.1:2"}, {"c", "127.0.0.1:3"}};
+  EXPECT_NO_THROW(group::check(good));
+  auto bad = [&](const std::string& part, const std::function<void(group::Options&)>& change) {
+    auto o = good;
+    change(o);
+    try {
+      group::check(o);
+      ADD_FAILURE() << part;
+    } catch (const std::invalid_argument& e) {
+      EXPECT_NE(std::string(e.what()).find(part), std::string::npos) << e.what();
+      EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+    }
+  };
+  bad("names 2 voters", [](auto& o) { o.nodes.pop_back(); });
+  bad("twice", [](auto& o) { o.nodes[2].name = "b"; });
+  bad("address of another", [](auto& o) { o.nodes[2].address = o.nodes[1].address; });
+  bad("is no address", [](auto& o) { o.nodes[2].address = "here"; });
+  bad("own, is missing", [](auto& o) { o.name = ""; });
+  bad("only voters listen", [](auto& o) { o.name = "x"; });
+  bad("directory", [](auto& o) { o.directory = ""; });
+  bad("lease_ms", [](auto& o) { o.lease = o.election_max; });
+  bad("election_ms", [](auto& o) { o.election_min = o.heartbeat; });
+}
+
+using lab::faults::Operation;
+
+Operation op(bool write, const std::string& value, int called, int answered) {
+  Operation o;
+  o.write = write;
+  o.value = value;
+  o.called = Micros(called);
+  if (answered >= 0) o.answered = Micros(answered);
+  return o;
+}
+
+TEST(Checkers, ARegisterIsExplainedByOneOrderOrNot) {
+  using lab::faults::linearizable;
+  EXPECT_TRUE(linearizable({}));
+  EXPECT_TRUE(linearizable({op(true, "a", 0, 10), op(false, "a", 11, 12)}));
+  EXPECT_FALSE(linearizable({op(true, "a", 0, 10), op(false, "", 11, 12)}));  // an acknowledged write is gone
+  EXPECT_TRUE(linearizable({op(true, "a", 0, 10), op(false, "", 5, 12)}));    // at the same time
+  EXPECT_FALSE(linearizable({op(true, "a", 0, 10), op(true, "b", 11, 20), op(false, "b", 21, 22),
+                             op(false, "a", 23, 24)}));  // back
+  EXPECT_FALSE(linearizable({op(true, "a", 0, 30), op(false, "a", 1, 5), op(false, "", 6, 9)}));
+  // Of unknown end: may have happened, may come late, may never.
+  EXPECT_TRUE(linearizable(
+      {op(true, "a", 0, 10), op(true, "b", 11, -1), op(false, "a", 20, 22), op(false, "b", 30, 31)}));
+  EXPECT_TRUE(linearizable({op(true, "a", 0, 10), op(true, "b", 11, -1), op(false, "a", 20, 22)}));
+  EXPECT_FALSE(linearizable(
+      {op(true, "a", 0, 10), op(true, "b", 11, -1), op(false, "b", 20, 22), op(false, "a", 30, 31)}));
+  EXPECT_FALSE(linearizable({op(false, "never written", 1, 2)}));
+  bool gave_up = false;
+  std::vector<Operation> many;
+  for (int i = 0; i < 30; ++i) many.push_back(op(true, std::to_string(i), 0, 100));
+  many.push_back(op(false, "x", 200, 201));
+  EXPECT_FALSE(linearizable(many, &gave_up, 1000));
+  EXPECT_TRUE(gave_up);
+}
+
+TEST(Checkers, NobodyMayPassACheckAfterANewerTokenDid) {
+  lab::faults::Holds holds;
+  holds.saw(1s, "a", "list", 3);
+  holds.saw(2s, "a", "list", 3);
+  holds.saw(4s, "b", "list", 7);
+  holds.saw(5s, "a", "list", 9);
+  EXPECT_EQ(holds.overlapping(), 0u);
+  holds.saw(4500ms, "a", "list", 3);
+  EXPECT_EQ(holds.overlapping(), 1u);
+  holds.saw(4600ms, "c", "probe 1", 1);  // another job
+  EXPECT_EQ(holds.overlapping(), 1u);
+}
+
+}  // namespace
+}  // namespace linenwinch
