--- a/src/app/group_runner.cpp
+++ b/src/app/group_runner.cpp
@@ -12,6 +12,8 @@
 // Beside what the configuration allows the proxy: links to hundreds of followers, the store, probes.
 constexpr rlim_t kGroupDescriptors = 2048;
 // Between two probes of a server by its owner: where no class bounds the age, and at least.
+// Left alone together, proxies ask the list service so far apart, one by one: a hundred calls a second.
+constexpr group::Micros kAskApart{10'000};
 constexpr group::Micros kNoBound{500'000}, kLeastProbeEvery{20'000};
 
 // The owner's probes go over connections of their own, in the group's thread.
@@ -45,6 +47,7 @@
     setrlimit(RLIMIT_NOFILE, &limit);
   }
   options.seed = seed;
+  options.spread = std::max(options.spread, kAskApart * settings.routers);
   if (options.probe_every.count() == 0) {
     // A position holds until the bound is over: half of it leaves the other half for lag and the way here.
     options.probe_every = kNoBound;
--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -286,7 +286,9 @@
     pthread_setname_np(pthread_self(), "group");
     loop_.set_fine(true);
     list_heard_ = net::monotonic_now();
-    alone_after_ = options_.fallback + Micros(static_cast<std::int64_t>(random() % 1'000'000));
+    alone_after_ =
+        options_.fallback +
+        Micros(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(options_.spread.count())));
     dial_some();
     auto spread = [&](Micros span) {
       return loop_.now() +
@@ -1093,12 +1095,19 @@
     for (auto& [name, d] : downstream_)
       if (d.follows) d.link->send_frame(text);
   }
-  bool alone = net::monotonic_now() - list_heard_ > alone_after_;
+  // A process that stood still itself has heard nothing for that reason: that says nothing of the group.
+  auto now = net::monotonic_now();
+  if (now - looked_at_ > kAliveEvery * 3 && looked_at_.count() > 0) list_heard_ += now - looked_at_;
+  looked_at_ = now;
+  bool alone = now - list_heard_ > alone_after_;
   if (alone == alone_) return;
   alone_ = alone;
   say(alone ? Level::kWarning : Level::kInfo,
       alone ? "nothing is heard of the list: this proxy asks by itself" : "the list is heard of again");
-  if (alone) alone_after_ = options_.fallback + Micros(static_cast<std::int64_t>(random() % 1'000'000));
+  if (alone)
+    alone_after_ =
+        options_.fallback +
+        Micros(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(options_.spread.count())));
   hooks_.alone(alone);
 }
 
--- a/src/group/node.h
+++ b/src/group/node.h
@@ -219,7 +219,7 @@
   // what is in force for this process
   discovery::MemberUpdate known_;
   bool known_published_ = false;
-  Micros list_heard_{0}, alone_after_{0};
+  Micros list_heard_{0}, alone_after_{0}, looked_at_{0};
   bool alone_ = false;
 
   // jobs `probe SET`
--- a/src/group/options.h
+++ b/src/group/options.h
@@ -26,6 +26,7 @@
   Micros lease{2'000'000};
   Micros fallback{3'000'000};  // without word of the list for so long, a proxy asks by itself
   Micros probe_every{0};       // a replica, by the owner of its set; 0: half of the tightest bound on age
+  Micros spread{1'000'000};    // over which all proxies, left alone together, begin to ask
   std::uint64_t seed = 0;
 
   bool voter() const;
--- a/src/lab/faults/commands.cpp
+++ b/src/lab/faults/commands.cpp
@@ -21,12 +21,13 @@
 
 int run(const std::vector<std::string>& arguments) {
   po::options_description o;
-  o.add_options()("name", po::value<std::string>()->default_value(""), "group, owner or savings")(
+  o.add_options()("name", po::value<std::string>()->default_value(""), "group, owner, savings or return")(
       "program", po::value<std::string>()->default_value(daemon_beside()), "the daemon")(
       "quick", "few faults of one seed")("seed", po::value<std::uint64_t>()->default_value(1), "the first")(
       "seeds", po::value<int>()->default_value(1), "how many, one after another")(
       "processes", po::value<int>()->default_value(0), "0: the experiment's own number")(
-      "faults", po::value<int>()->default_value(50), "of one seed; savings: seconds of load")(
+      "faults", po::value<int>()->default_value(50),
+      "of one seed; savings: seconds of load; return: hundreds of entries")(
       "history", po::value<std::string>()->default_value(""),
       "write the events of the last seed to this file")(
       "rate", po::value<double>()->default_value(10),
@@ -45,13 +46,13 @@
   }
   auto name = given["name"].as<std::string>();
   if (name.empty() || given.count("help")) {
-    std::cout
-        << "linenwinch_lab faults group|owner|savings [options]: many processes, and faults between them\n"
-        << o;
+    std::cout << "linenwinch_lab faults group|owner|savings|return [options]: many processes, and faults "
+                 "between them\n"
+              << o;
     return 0;
   }
-  if (name != "group" && name != "owner" && name != "savings")
-    throw std::runtime_error(fmt::format("faults knows group, owner and savings, not '{}'", name));
+  if (name != "group" && name != "owner" && name != "savings" && name != "return")
+    throw std::runtime_error(fmt::format("faults knows group, owner, savings and return, not '{}'", name));
   auto seeds = std::clamp(given["seeds"].as<int>(), 1, 1000);
   json rows = json::array();
   std::uint64_t bad = 0;
@@ -70,7 +71,9 @@
     if (name == "savings") {
       for (auto& row : run_savings(options)) rows.push_back(row);
     } else {
-      rows.push_back(name == "group" ? run_group(options) : run_owner(options));
+      rows.push_back(name == "group"   ? run_group(options)
+                     : name == "owner" ? run_owner(options)
+                                       : run_return(options));
     }
     std::cerr << rows.back().dump() << "\n";
     for (auto key :
--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -597,4 +597,78 @@
   return rows;
 }
 
+json run_return(const ExperimentOptions& options) {
+  RigOptions o;
+  o.program = options.program;
+  o.folder = options.folder;
+  o.voters = 3;
+  o.followers = std::max(1, (options.processes > 0 ? options.processes : 303) - o.voters);
+  o.seed = options.seed;
+  Rig rig(o);
+  rig.soon([&] { return !rig.owner("list").empty(); });
+  auto leader = rig.leader();
+  std::string behind;
+  for (auto& name : rig.voters())
+    if (name != leader) behind = name;
+  auto since = [](Micros began) {
+    return static_cast<double>((net::monotonic_now() - began).count()) / 1000;
+  };
+  auto calls = rig.stand_in().report().at("list_calls").get<std::uint64_t>();
+  for (auto& name : rig.followers()) rig.pause(name);
+  rig.kill(behind);
+  int entries = options.faults * 100;
+  std::atomic<int> left{entries};
+  std::atomic<std::uint64_t> refused{0};
+  auto began = net::monotonic_now();
+  std::vector<std::thread> writers;
+  for (int w = 0; w < 64; ++w)
+    writers.emplace_back([&, w] {
+      try {
+        app::FleetCall call(rig.address(leader), "lab", 10'000);
+        while (left-- > 0)
+          if (!call.ask({{"do", "put"}, {"key", fmt::format("k{}", w)}, {"value", std::string(100, 'x')}})
+                   .value("ok", false))
+            ++refused;
+      } catch (const std::runtime_error&) {
+        ++refused;
+      }
+    });
+  for (auto& t : writers) t.join();
+  auto write_ms = since(began);
+  auto applied = rig.status(leader, 5000)->at("applied").get<std::uint64_t>();
+  began = net::monotonic_now();
+  rig.start(behind);
+  bool caught_up = rig.soon(
+      [&] {
+        auto s = rig.status(behind, 5000);
+        return s && s->at("applied").get<std::uint64_t>() >= applied;
+      },
+      kSettled);
+  auto caught_up_ms = since(began);
+  began = net::monotonic_now();
+  for (auto& name : rig.followers()) rig.resume(name);
+  auto fed = [&] {
+    std::uint64_t count = 0;
+    for (auto& name : rig.voters())
+      if (auto s = rig.status(name, 5000)) count += s->at("followers").get<std::uint64_t>();
+    return count == rig.followers().size();
+  };
+  bool all = rig.soon(fed, kSettled);
+  auto all_ms = since(began);
+  auto s = rig.status(leader, 5000);
+  return {{"seed", options.seed},
+          {"processes", rig.all().size()},
+          {"entries", entries},
+          {"refused", refused.load()},
+          {"writes_per_s", entries / write_ms * 1000},
+          {"voter_caught_up", caught_up},
+          {"voter_caught_up_ms", caught_up_ms},
+          {"followers_back", all},
+          {"followers_back_ms", all_ms},
+          {"list_calls_meanwhile", rig.stand_in().report().at("list_calls").get<std::uint64_t>() - calls},
+          {"leader_held", rig.leader() == leader},
+          {"term", s ? s->at("term").get<std::uint64_t>() : 0},
+          {"leader_rss_mb", rig.daemon(leader)->usage().rss_mb}};
+}
+
 }  // namespace linenwinch::lab::faults
--- a/src/lab/faults/experiments.h
+++ b/src/lab/faults/experiments.h
@@ -26,6 +26,9 @@
 // What owned jobs save: proxies each for itself, then with the jobs owned, in one run; a row each.
 nlohmann::json run_savings(const ExperimentOptions& options);
 
+// All followers come back at once, and a voter that is `entries` behind.
+nlohmann::json run_return(const ExperimentOptions& options);
+
 // `linenwinch_lab faults NAME ...`
 int run(const std::vector<std::string>& arguments);
 
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -475,12 +475,31 @@
 }
 
 TEST_CASE("group: a follower far behind, and dozens that come back at once, are fed whole") {
-  Fleet f(3, 24, [](RigOptions& o) { o.group = {{"jobs", json::array()}}; });
+  // They were away for longer than they would wait for word of the list.
+  Fleet f(3, 24, [](RigOptions& o) { o.group = {{"fallback_ms", 1500}}; });
+  REQUIRE(f.owned("list"));
+  auto alone = [&] {
+    std::size_t n = 0;
+    for (auto& name : f->followers()) n += times(f->log(name), "asks by itself");
+    return n;
+  };
+  auto back = [&] {
+    std::size_t n = 0;
+    for (auto& name : f->followers()) n += times(f->log(name), "heard of again");
+    return n;
+  };
+  REQUIRE(f->soon([&] { return f.number(f->leader(), "list_generation") < 1000; }));
+  REQUIRE(f->soon([&] { return alone() == back(); }));  // some may have begun before the group had an owner
   for (auto& name : f->followers()) f->pause(name);
+  auto before = alone();
+  auto paused = net::monotonic_now();
+  REQUIRE(f.owned("list"));
   f.fill(3000);
   auto voter_behind = f.other(f->leader());
   f->kill(voter_behind);
   f.fill(3000);
+  f->soon([&] { return net::monotonic_now() - paused > 3s; });
+  auto calls = f->stand_in().report().at("list_calls").get<std::uint64_t>();
   for (auto& name : f->followers()) f->resume(name);
   f->start(voter_behind);  // by a snapshot: the leader's log does not reach back so far
   CHECK(f->soon([&] { return f.number(voter_behind, "applied") == f.number(f->leader(), "applied"); }));
@@ -489,6 +508,9 @@
     for (auto& name : f->voters()) fed += f.number(name, "followers");
     return fed == f->followers().size();
   }));
+  // None of them took its own absence for the group's.
+  CHECK(f->stand_in().report().at("list_calls").get<std::uint64_t>() - calls < 8);
+  CHECK(alone() == before);
 }
 
 TEST_CASE("group: SIGTERM hands jobs and leadership over at once, and a rolling restart loses nothing") {
