--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -121,6 +121,8 @@
     char chunk[16384];
     auto n = recv(fd_, chunk, sizeof chunk, 0);
     if (n == 0) throw std::runtime_error(fmt::format("{}: the connection ended", address_));
+    if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+      throw std::runtime_error(fmt::format("{}: the connection broke", address_));
     if (n < 0) throw std::runtime_error(fmt::format("{}: no answer in time", address_));
     in_.append(chunk, static_cast<std::size_t>(n));
   }
--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -631,12 +631,17 @@
 }
 
 void Node::carry_out(rc::Output out) {
-  for (auto& t : out.turns)
+  for (auto& t : out.turns) {
+    // Without a majority it tries again every second: told once.
+    bool again = t.role == rc::Role::kPreCandidate && std::exchange(tried_in_, t.term) == t.term;
+    if (t.leader != rc::kNobody) tried_in_ = 0;
+    if (again) continue;
     say(t.role == rc::Role::kHalted ? Level::kError : Level::kInfo,
         fmt::format("{} in term {}: {}{}", rc::text_of(t.role), t.term, rc::text_of(t.reason),
                     t.leader != rc::kNobody && t.role != rc::Role::kLeader
                         ? fmt::format(" (leader {})", name_of(t.leader))
                         : ""));
+  }
   for (auto& w : out.writes) writer_->write(write_base_ + w.number, batch_of(w));
   for (auto& m : out.messages) {
     if (m.after > 0 && write_base_ + m.after > durable_)
@@ -893,7 +898,8 @@
       list_whole_ = known_published_;
       whole_lists_ += !from;
       to_publish_ = false;
-      list_answered_ = Micros(0);
+      // What was published before is as good as an answer; one that waits for a change comes within 5 s.
+      list_answered_ = known_published_ ? now : Micros(0);
       watch_ = std::make_unique<discovery::Watch>(
           loop_, *address, discovery_, from, pace_,
           [this](discovery::MemberUpdate update) { list_changed(update); }, log_);
--- a/src/group/node.h
+++ b/src/group/node.h
@@ -187,6 +187,7 @@
   std::uint64_t write_base_ = 0, durable_ = 0;
   std::string disk_error_;
   consensus::Index applied_ = 0, snapshotted_ = 0;
+  consensus::Term tried_in_ = ~0ull;  // the last try to be elected that was told
   consensus::Role role_ = consensus::Role::kFollower;
   std::map<std::uint64_t, Done> tickets_;
   std::map<std::uint64_t, std::function<void(bool)>> reads_;
--- a/src/lab/faults/commands.cpp
+++ b/src/lab/faults/commands.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <stdexcept>
@@ -19,6 +20,84 @@
 namespace po = boost::program_options;
 using nlohmann::json;
 
+namespace {
+
+// JSON, a table and a chart of the rows, beside the command that made them.
+void write_folder(const std::string& name, json rows, const std::string& folder, const std::string& command) {
+  std::filesystem::create_directories(folder);
+  json result = {{"command", command}, {"machine", machine()}, {"rows", rows}};
+  write_whole(folder + "/" + name + ".json", result.dump(1) + "\n");
+  std::vector<Column> columns;
+  if (name == "group")
+    columns = {{"seed", "seed"},
+               {"processes", "processes"},
+               {"faults", "faults"},
+               {"acknowledged", "acknowledged"},
+               {"lost", "lost"},
+               {"operations_checked", "checked"},
+               {"linearizable", "one order"},
+               {"two_leaders_in_a_term", "two leaders"},
+               {"elections", "elections"},
+               {"stuck", "stuck"},
+               {"leaderless_ms_p50", "leaderless p50 ms"},
+               {"leaderless_ms_p99", "p99 ms"}};
+  else if (name == "owner")
+    columns = {{"seed", "seed"},
+               {"processes", "processes"},
+               {"faults", "faults"},
+               {"asked", "asked"},
+               {"served_share", "served", 4},
+               {"samples", "samples"},
+               {"owners_overlapping", "overlapping"},
+               {"stale_effects_attempted", "stale tried"},
+               {"stale_effects_accepted", "taken"},
+               {"list_calls", "list calls"},
+               {"probes_per_server_per_s", "probes/server/s", 2},
+               {"drain_last_send_ms", "drain last send ms"},
+               {"rule_breaches", "breaches"}};
+  else if (name == "savings")
+    columns = {{"mode", "mode"},
+               {"processes", "processes"},
+               {"lag_ms", "lag ms"},
+               {"rate_each", "asked/s each"},
+               {"served_share", "served", 4},
+               {"p50_ms", "p50 ms", 2},
+               {"p99_ms", "p99 ms", 2},
+               {"list_calls", "list calls"},
+               {"probes_per_server_per_s", "probes/server/s", 2},
+               {"cpu_seconds_all", "CPU s, all", 2},
+               {"rss_mb_most", "MB, most", 1},
+               {"rule_breaches", "breaches"}};
+  else
+    columns = {{"processes", "processes"},
+               {"entries", "entries"},
+               {"voter_caught_up_ms", "voter caught up ms"},
+               {"followers_back_ms", "followers back ms"},
+               {"list_calls_meanwhile", "list calls"},
+               {"leader_held", "leader held"}};
+  write_whole(folder + "/" + name + ".md", "`" + command + "`\n\n" + markdown_table(columns, rows));
+  std::vector<Series> series;
+  auto bars = [&](const char* key, const std::string& title) {
+    Series s{title, {}};
+    for (auto& row : rows)
+      s.bars.emplace_back(row.contains("mode") ? fmt::format("{} {}/s", row.at("mode").get<std::string>(),
+                                                             row.value("rate_each", 0.0))
+                                               : fmt::format("seed {}", row.at("seed").get<std::uint64_t>()),
+                          row.at(key).get<double>());
+    series.push_back(std::move(s));
+  };
+  if (name == "group") {
+    bars("leaderless_ms_p50", "p50");
+    bars("leaderless_ms_p99", "p99");
+    bar_chart(folder + "/leaderless.svg", "From a fault at the leader to the next write", "ms", series);
+  } else if (name == "savings") {
+    bars("probes_per_server_per_s", "probes a server and second");
+    bar_chart(folder + "/savings.svg", "Probes, each for itself and owned", "1/s", series);
+  }
+}
+
+}  // namespace
+
 int run(const std::vector<std::string>& arguments) {
   po::options_description o;
   o.add_options()("name", po::value<std::string>()->default_value(""), "group, owner, savings or return")(
@@ -34,7 +113,10 @@
       "savings: requests a second at each proxy; 0: closed loop")(
       "lag-ms", po::value<int>()->default_value(0),
       "savings: replicas so far behind that do not check the age themselves")(
-      "json", po::value<std::string>(), "write the rows to this file")("help", "this text");
+      "json", po::value<std::string>(), "write the rows to this file")(
+      "folder", po::value<std::string>(), "write JSON, table and chart into this folder")(
+      "from", po::value<std::vector<std::string>>()->multitoken(),
+      "rows of earlier runs (--json) to write there, in place of a run")("help", "this text");
   po::positional_options_description positions;
   positions.add("name", 1);
   po::variables_map given;
@@ -56,6 +138,18 @@
   auto seeds = std::clamp(given["seeds"].as<int>(), 1, 1000);
   json rows = json::array();
   std::uint64_t bad = 0;
+  std::string command = "linenwinch_lab faults";
+  if (given.count("from")) {
+    for (auto& path : given["from"].as<std::vector<std::string>>()) {
+      std::ifstream file(path);
+      for (auto& row : json::parse(file)) rows.push_back(row);
+    }
+    command += fmt::format(" {} --faults {}, seeds {} to {}", name, rows.at(0).value("faults", 0),
+                           rows.front().value("seed", 0), rows.back().value("seed", 0));
+    seeds = 0;
+  } else {
+    for (auto& a : arguments) command += " " + a;
+  }
   for (int i = 0; i < seeds; ++i) {
     ScratchFolder scratch;
     ExperimentOptions options;
@@ -82,6 +176,7 @@
     bad += !rows.back().value("linearizable", true);
   }
   if (given.count("json")) write_whole(given["json"].as<std::string>(), rows.dump(1) + "\n");
+  if (given.count("folder")) write_folder(name, rows, given["folder"].as<std::string>(), command);
   std::cout << rows.dump(1) << "\n";
   return bad == 0 ? 0 : 2;
 }
