--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -419,7 +419,8 @@
 
 bool Raft::quorum_heard() const {
   std::size_t heard = members().votes(options_.self);
-  for (auto& [id, peer] : peers_) heard += members().votes(id) && now_ - peer.heard < options_.election_max;
+  // As patient as those who follow: one that hears nobody is led by another a timeout sooner.
+  for (auto& [id, peer] : peers_) heard += members().votes(id) && now_ - peer.heard < options_.election_min;
   return heard >= majority();
 }
 
--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -262,14 +262,24 @@
     case 11: {
       if (jobs) {
         // What the owner said to one of the others comes only once somebody else owns its jobs.
+        auto owner = rig.owner("list"), leader = rig.leader();
+        if (owner.empty() || !std::count(voters.begin(), voters.end(), owner)) owner = victim;
+        std::string third;
+        for (auto& name : voters)
+          if (name != owner && (third.empty() || name != leader)) third = name;
         LinkState held;
         held.hold_there = true;
-        rig.shape(victim, other, held);
+        rig.shape(owner, third, held);
         pause_for(700ms);
-        rig.terminate(victim);
-        pause_for(200ms);
+        rig.terminate(owner);
+        rig.soon(
+            [&] {
+              auto now = rig.owner("list");
+              return !now.empty() && now != owner;
+            },
+            Micros(1'200'000));
         rig.heal();
-        rig.start(victim);
+        rig.start(owner);
         return "effects come late";
       }
       rig.slow_disk(victim, 1000);
