Probe replicas in turn on behalf of all, and wait a moment for the owner's first fact

Replicas are asked in turn within two thirds of the bound; a proxy that wishes to know waits 100 ms for the owner's fact before it probes itself, but for servers that it has seen silent.

--- a/src/app/group_runner.cpp
+++ b/src/app/group_runner.cpp
@@ -49,22 +49,31 @@
   options.seed = seed;
   options.spread = std::max(options.spread, kAskApart * settings.routers);
   if (options.probe_every.count() == 0) {
-    // A position holds until the bound is over: half of it leaves the other half for lag and the way here.
+    // Replicas are asked in turn: of two, one was asked within a third of the bound, which leaves two thirds
+    // for lag and the way here; of one, it is asked twice as often.
     options.probe_every = kNoBound;
     for (auto& c : settings.classes)
-      if (c.bound.count() > 0) options.probe_every = std::min(options.probe_every, c.bound / 2);
+      if (c.bound.count() > 0) options.probe_every = std::min(options.probe_every, c.bound * 2 / 3);
     options.probe_every = std::max(options.probe_every, kLeastProbeEvery);
   }
   group::Hooks hooks;
   hooks.list = [this](discovery::MemberUpdate update) {
-    mailbox_.post([this, update = std::move(update)] { proxy_.given(update); });
+    mailbox_.post([this, update = std::move(update)] {
+      proxy_.dispatcher().await_facts(true);
+      proxy_.given(update);
+    });
   };
   hooks.facts = [this](std::vector<group::Fact> facts) {
     mailbox_.post([this, facts = std::move(facts)] {
       for (auto& f : facts) proxy_.dispatcher().fact({f.server, true, f.taken, f.load}, f.age);
     });
   };
-  hooks.alone = [this](bool alone) { mailbox_.post([this, alone] { proxy_.watch_discovery(alone); }); };
+  hooks.alone = [this](bool alone) {
+    mailbox_.post([this, alone] {
+      proxy_.dispatcher().await_facts(!alone);
+      proxy_.watch_discovery(alone);
+    });
+  };
   hooks.prober = [limits = of.pool, log](net::Loop& group_loop, group::Probed probed) {
     return std::make_unique<PoolProber>(group_loop, limits, log, std::move(probed));
   };
--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -35,7 +35,7 @@
 constexpr Micros kProbeLost = 2s;
 // A set is probed for so long after somebody wished to know: facts that come keep others from wishing, so
 // each end of it costs a probe of many. Wishes are passed on so often, whoever has them.
-constexpr Micros kWanted = 15s, kWantEvery = 250ms;
+constexpr Micros kWanted = 30s, kWantEvery = 250ms;
 // A primary's data is never old; it is asked only whether it still is one.
 constexpr Micros kPrimaryEvery = 1s;
 constexpr std::size_t kMostSets = 4096;
@@ -998,20 +998,36 @@
   }
 }
 
+// Replicas in turn, so that the freshest fact of a set is never older than a part of what one of them is.
 void Node::probe_set(std::int64_t set) {
   auto now = net::monotonic_now();
+  auto job = fmt::format("probe {}", set);
+  auto probe = [&](const std::string& server) {
+    if (!holder_.holds(job, net::monotonic_now()) || !probing_.emplace(server, now).second) return;
+    prober_->probe(server);
+  };
   std::erase_if(probing_, [&](auto& p) { return now - p.second > kProbeLost; });
-  auto& last = probed_at_[set];
-  if (now - last < options_.probe_every) return;
-  last = now;
+  std::vector<std::string> replicas;
   for (auto& m : known_.members) {
-    if (m.cell != set || m.lifecycle != discovery::Lifecycle::kUp || probing_.count(m.id)) continue;
+    if (m.cell != set || m.lifecycle != discovery::Lifecycle::kUp) continue;
     auto primary = primary_asked_.find(m.id);
-    if (primary != primary_asked_.end() && now - primary->second < kPrimaryEvery) continue;
-    if (!holder_.holds(fmt::format("probe {}", set), net::monotonic_now())) return;
-    probing_[m.id] = now;
-    prober_->probe(m.id);
+    if (primary == primary_asked_.end())
+      replicas.push_back(m.id);
+    else if (now - primary->second >= kPrimaryEvery)
+      probe(m.id);
+  }
+  if (replicas.empty()) return;
+  auto& turn = turns_[set];
+  auto count = static_cast<std::int64_t>(replicas.size());
+  auto step = options_.probe_every / std::max<std::int64_t>(2, count);
+  auto due = (now - turn.last) / step;
+  if (due > count) {  // the first, or after a pause: all at once
+    due = count;
+    turn.last = now;
+  } else {
+    turn.last += step * due;
   }
+  for (; due > 0; --due) probe(replicas[turn.next++ % replicas.size()]);
 }
 
 bool Node::wanted(std::int64_t set) const {
--- a/src/group/node.h
+++ b/src/group/node.h
@@ -225,7 +225,11 @@
 
   // jobs `probe SET`
   std::unique_ptr<Prober> prober_;
-  std::map<std::int64_t, Micros> probed_at_;                  // of a set
+  struct Turn {
+    Micros last{0};
+    std::size_t next = 0;
+  };
+  std::map<std::int64_t, Turn> turns_;                        // of a set's replicas
   std::map<std::int64_t, std::pair<Micros, Micros>> wanted_;  // of a set: when last, and when passed on
   std::map<std::string, Micros> probing_;                     // since when
   std::map<std::string, Micros> primary_asked_;               // servers that said they were primary
--- a/src/group/options.h
+++ b/src/group/options.h
@@ -25,8 +25,8 @@
   Micros heartbeat{100'000}, election_min{600'000}, election_max{1'200'000};
   Micros lease{2'000'000};
   Micros fallback{3'000'000};  // without word of the list for so long, a proxy asks by itself
-  Micros probe_every{0};       // a replica, by the owner of its set; 0: half of the tightest bound on age
-  Micros spread{1'000'000};    // over which all proxies, left alone together, begin to ask
+  Micros probe_every{0};  // each replica, by the owner of its set; 0: two thirds of the tightest bound on age
+  Micros spread{1'000'000};  // over which all proxies, left alone together, begin to ask
   std::uint64_t seed = 0;
 
   bool voter() const;
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -16,6 +16,8 @@
 // A client turned away since the way to the decisions is full: by then what filled it has been decided or has
 // ended.
 constexpr Micros kComeBackFull = 200ms;
+// A wish reaches the owner, is probed and told within some 60 ms where nothing is amiss.
+constexpr Micros kAwaitFact = 100ms;
 
 }  // namespace
 
@@ -153,12 +155,23 @@
       if (facts_) {
         if (auto fact = facts_->answer(loop_.now(), d.server)) return probes_.push_back(std::move(*fact));
         wanted_(d.server);
+        // The owner's first fact is on its way: hundreds would probe at the same moment.
+        if (await_facts_ && !facts_->distrusts(d.server)) {
+          loop_.at(loop_.now() + kAwaitFact, [this, server = d.server] {
+            if (!facts_->answer(loop_.now(), server)) probe(server);
+          });
+          return;
+        }
       }
-      ++counters_.probes;
-      return pool_.probe(d.server);
+      return probe(d.server);
   }
 }
 
+void Dispatcher::probe(const std::string& server) {
+  ++counters_.probes;
+  pool_.probe(server);
+}
+
 // A decision that was made elsewhere may come after its request has ended here.
 void Dispatcher::send(const routing::Decision& d) {
   if (d.stale || open_.count(d.request) == 0) {
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -49,6 +49,8 @@
     wanted_ = std::move(wanted);
   }
   void fact(routing::ProbeResult result, Micros age);
+  // Whether an owner is there whose facts are worth waiting for, a moment, before probing by itself.
+  void await_facts(bool on) { await_facts_ = on; }
   // Takes a request; `request.id` is given here. The answer comes through the port, never within this call.
   // 0: a request of the same name is open. Both would reach the data server as attempts of one request.
   RequestId submit(ClientPort* client, routing::Request request, std::string_view name);
@@ -70,6 +72,7 @@
   };
   void settle(AttemptEnd& end);
   void send(const routing::Decision& decision);
+  void probe(const std::string& server);
   void turn_away(RequestId request);
   void carry_out(const routing::Decision& decision);
   ClientPort* close(RequestId request);
@@ -89,6 +92,7 @@
   std::vector<routing::ProbeResult> probes_;
   std::optional<routing::FactBook> facts_;
   std::function<void(const std::string&)> wanted_;
+  bool await_facts_ = false;
   std::vector<RequestId> left_;
   std::vector<routing::Request> new_;
   net::Loop::TimerId due_ = net::Loop::kNoTimer;
--- a/src/routing/facts.h
+++ b/src/routing/facts.h
@@ -32,6 +32,10 @@
     if (it == known_.end() || it->second.distrusted || !it->second.result) return std::nullopt;
     return now - it->second.seen <= kFresh ? it->second.result : std::nullopt;
   }
+  bool distrusts(const std::string& server) const {
+    auto it = known_.find(server);
+    return it != known_.end() && it->second.distrusted;
+  }
   // Seen here: it answered, or it was out of reach or silent.
   void saw(const std::string& server, bool answered) {
     if (answered) {
