--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -239,7 +239,8 @@
   Fleet f(3, 1, [](RigOptions& o) { o.group = {{"fallback_ms", 1500}}; });
   REQUIRE(f.owned("list"));
   REQUIRE(f.owned("probe 1"));
-  auto one = f->voters()[0];
+  auto one = f->owner("list");
+  REQUIRE(f->soon([&] { return f.holds(one, "list"); }));
   for (auto& name : f->voters())
     if (name != one) f->kill(name);
   // Its own clock ends what it holds.
