Clients of the fault rig turn to another node where one knows no leader

Seen: after a leader that hears none, writes came again only with the end of the fault, though another leads after 1.2 s by its log. All four clients had ended at the deaf node, which answers at once that it knows no leader, and stayed there. Ruled out: the election (1.1 to 1.3 s in six turns of the same fault) and the way of answers.

--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -86,6 +86,10 @@
         if (ok) o.answered = now;
         std::lock_guard lock(mutex_);
         if (ok || (o.write && unknown)) operations_[key].push_back(o);
+        if (!ok) {  // this node knows no leader: another may
+          call.reset();
+          at = (at + 1) % rig_.voters().size();
+        }
         if (ok && o.write) {
           ++acknowledged_;
           acks_.emplace_back(o.called, now);
