--- a/src/workers/decision_thread.h
+++ b/src/workers/decision_thread.h
@@ -6,9 +6,9 @@
 #include <thread>
 #include <vector>
 
+#include "net/mailbox.h"
 #include "proxy/server_pool.h"
 #include "routing/facade.h"
-#include "net/mailbox.h"
 #include "workers/remote_decider.h"
 
 namespace linenwinch::workers {
--- a/src/workers/remote_decider.h
+++ b/src/workers/remote_decider.h
@@ -3,10 +3,10 @@
 
 #include <unordered_map>
 
+#include "net/mailbox.h"
 #include "routing/decider.h"
 #include "workers/channel.h"
 #include "workers/fence.h"
-#include "net/mailbox.h"
 
 namespace linenwinch::workers {
 
