--- a/src/lab/faults/commands.cpp
+++ b/src/lab/faults/commands.cpp
@@ -27,6 +27,9 @@
   std::filesystem::create_directories(folder);
   json result = {{"command", command}, {"machine", machine()}, {"rows", rows}};
   write_whole(folder + "/" + name + ".json", result.dump(1) + "\n");
+  for (auto& row : rows)
+    for (auto& [key, value] : row.items())
+      if (value.is_boolean()) value = value.get<bool>() ? "yes" : "no";
   std::vector<Column> columns;
   if (name == "group")
     columns = {{"seed", "seed"},
@@ -144,7 +147,7 @@
       std::ifstream file(path);
       for (auto& row : json::parse(file)) rows.push_back(row);
     }
-    command += fmt::format(" {} --faults {}, seeds {} to {}", name, rows.at(0).value("faults", 0),
+    command += fmt::format(" {}: {} rows of earlier runs, seeds {} to {}", name, rows.size(),
                            rows.front().value("seed", 0), rows.back().value("seed", 0));
     seeds = 0;
   } else {
