--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -110,14 +110,19 @@
   return voices > 0 && well * 2 > voices ? Agreed::kWell : Agreed::kNothing;
 }
 
+// It serves nobody, by those of every zone that tried: also one that is cut from all others may serve its
+// own.
 bool Planner::dead(const Zone& zone, const Input& input) const {
-  std::uint64_t attempts = 0, lost = 0;
+  std::map<Zone, std::pair<std::uint64_t, std::uint64_t>> tried;  // by observers' zone: attempts, lost
   for (auto& [key, s] : input.seen.seen()) {
-    if (std::get<2>(key) != zone) continue;
+    if (std::get<2>(key) != zone || s.attempts == 0) continue;
+    auto& [attempts, lost] = tried[std::get<0>(key)];
     attempts += s.attempts;
     lost += s.refused + s.timed_out + s.failed;
   }
-  return attempts > 0 && static_cast<double>(lost) >= kDead * static_cast<double>(attempts);
+  return !tried.empty() && std::all_of(tried.begin(), tried.end(), [](auto& t) {
+    return static_cast<double>(t.second.second) >= kDead * static_cast<double>(t.second.first);
+  });
 }
 
 // Every set that the zone serves: the others, as far as they may be used, bear all that is asked.
