--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -263,11 +263,14 @@
   std::set<Zone> zones;
   for (auto& [key, supply] : input.supply) zones.insert(key.second);
   std::erase_if(plan->zones, [&](auto& z) { return !zones.count(z.first); });
-  for (auto& zone : zones) {
-    auto& s = plan->zones[zone];
-    heed(&s, zone_health(zone, input), input.now);
-    move_zone(plan, zone, &s, input);
-  }
+  // Those that serve nobody first: what the rest carries is reckoned without them.
+  for (bool first : {true, false})
+    for (auto& zone : zones) {
+      if (dead(zone, input) != first) continue;
+      auto& s = plan->zones[zone];
+      heed(&s, zone_health(zone, input), input.now);
+      move_zone(plan, zone, &s, input);
+    }
   move_links(plan, input);
 }
 
