Fault rig: faults from a script, and checkers that read the history alone

The rig drew its faults from a seed only, and the checkers took clients' calls and samples from memory, so a run could not be judged again. Calls and samples are events of the history now, judge() reads nothing else, and 'faults check' runs it on a file. A script is parsed whole before anything starts; what cannot be is one line with fault and step.

The owner experiment counts two leaders in a term as well.

--- a/src/lab/faults/commands.cpp
+++ b/src/lab/faults/commands.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "lab/faults/experiments.h"
+#include "lab/faults/history.h"
 #include "lab/report.h"
 #include "lab/scratch.h"
 
@@ -103,7 +104,8 @@
 
 int run(const std::vector<std::string>& arguments) {
   po::options_description o;
-  o.add_options()("name", po::value<std::string>()->default_value(""), "group, owner, savings or return")(
+  o.add_options()("name", po::value<std::string>()->default_value(""),
+                  "group, owner, savings, return or check")(
       "program", po::value<std::string>()->default_value(daemon_beside()), "the daemon")(
       "quick", "few faults of one seed")("seed", po::value<std::uint64_t>()->default_value(1), "the first")(
       "seeds", po::value<int>()->default_value(1), "how many, one after another")(
@@ -116,6 +118,8 @@
       "savings: requests a second at each proxy; 0: closed loop")(
       "lag-ms", po::value<int>()->default_value(0),
       "savings: replicas so far behind that do not check the age themselves")(
+      "script", po::value<std::string>(),
+      "group, owner: the faults of this file (JSON), in place of drawn ones")(
       "json", po::value<std::string>(), "write the rows to this file")(
       "folder", po::value<std::string>(), "write JSON, table and chart into this folder")(
       "from", po::value<std::vector<std::string>>()->multitoken(),
@@ -131,13 +135,26 @@
   }
   auto name = given["name"].as<std::string>();
   if (name.empty() || given.count("help")) {
-    std::cout << "linenwinch_lab faults group|owner|savings|return [options]: many processes, and faults "
-                 "between them\n"
-              << o;
+    std::cout
+        << "linenwinch_lab faults group|owner|savings|return [options]: many processes, and faults "
+           "between them\nlinenwinch_lab faults check --history FILE: the checkers alone, on the events of "
+           "an earlier run\n"
+        << o;
     return 0;
   }
+  if (name == "check") {
+    auto verdict = judge(read_history(given["history"].as<std::string>()));
+    std::cout << to_json(verdict).dump(1) << "\n";
+    return verdict.broken() ? 2 : 0;
+  }
   if (name != "group" && name != "owner" && name != "savings" && name != "return")
-    throw std::runtime_error(fmt::format("faults knows group, owner, savings and return, not '{}'", name));
+    throw std::runtime_error(
+        fmt::format("faults knows group, owner, savings, return and check, not '{}'", name));
+  Script script;
+  if (given.count("script")) {
+    if (name != "group" && name != "owner") throw std::runtime_error("--script goes with group and owner");
+    script = read_script(given["script"].as<std::string>());
+  }
   auto seeds = std::clamp(given["seeds"].as<int>(), 1, 1000);
   json rows = json::array();
   std::uint64_t bad = 0;
@@ -164,6 +181,7 @@
     options.rate = std::clamp(given["rate"].as<double>(), 0.0, 1e5);
     options.lag_ms = std::clamp(given["lag-ms"].as<int>(), 0, 10000);
     options.history = given["history"].as<std::string>();
+    options.script = script;
     if (given.count("quick") && given["faults"].defaulted()) options.faults = 5;
     if (name == "savings") {
       for (auto& row : run_savings(options)) rows.push_back(row);
--- a/src/lab/faults/experiments.cpp
+++ b/src/lab/faults/experiments.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "lab/faults/rig.h"
+#include "lab/faults/script.h"
 #include "lab/load.h"
 #include "lab/report.h"
 
@@ -27,7 +28,7 @@
 
 void pause_for(Micros span) { std::this_thread::sleep_for(span); }
 
-// Clients of the group's registers, each call told to the history and kept for the checker.
+// Clients of the group's registers, each call told to the history.
 class Registers {
  public:
   Registers(Rig& rig, std::uint64_t seed) : rig_(rig), seed_(seed) {
@@ -39,7 +40,6 @@
     for (auto& t : threads_)
       if (t.joinable()) t.join();
   }
-  std::uint64_t acknowledged() const { return acknowledged_; }
   // The first write that was called after this moment and acknowledged: when; waits for it.
   std::optional<Micros> first_after(Micros when, Micros patience) {
     auto end = net::monotonic_now() + patience;
@@ -54,12 +54,39 @@
     }
     return std::nullopt;
   }
-  std::map<std::string, std::vector<Operation>> operations() {
-    std::lock_guard lock(mutex_);
-    return operations_;
+  // The last word on each register closes its history: an acknowledged write that is gone shows there.
+  void last_words() {
+    for (auto& key : std::set<std::string>(keys_)) {
+      json answer;
+      Operation o;
+      o.called = rig_.history().now();
+      rig_.soon([&] {
+        try {
+          answer = rig_.ask(rig_.leader(), {{"do", "get"}, {"key", key}}, 2000);
+        } catch (const std::exception&) {
+          return false;
+        }
+        return answer.value("ok", false);
+      });
+      o.value = answer.value("value", "");
+      o.answered = rig_.history().now();
+      tell(-1, key, o, true);
+    }
   }
 
  private:
+  void tell(int client, const std::string& key, const Operation& o, bool last = false) {
+    json e = {{"client", client},
+              {"key", key},
+              {"write", o.write},
+              {"value", o.value},
+              {"called_us", o.called.count()}};
+    if (o.answered != Micros::max()) e["answered_us"] = o.answered.count();
+    if (last) e["last"] = true;
+    rig_.history().add("call", std::move(e));
+    std::lock_guard lock(mutex_);
+    keys_.insert(key);
+  }
   void run(int number) {
     std::mt19937_64 random(seed_ * 977 + static_cast<std::uint64_t>(number));
     std::unique_ptr<app::FleetCall> call;
@@ -84,21 +111,19 @@
         bool ok = answer.value("ok", false), unknown = answer.value("why", "").starts_with("unknown");
         if (!o.write) o.value = answer.value("value", "");
         if (ok) o.answered = now;
-        std::lock_guard lock(mutex_);
-        if (ok || (o.write && unknown)) operations_[key].push_back(o);
+        if (ok || (o.write && unknown)) tell(number, key, o);
         if (!ok) {  // this node knows no leader: another may
           call.reset();
           at = (at + 1) % rig_.voters().size();
         }
         if (ok && o.write) {
-          ++acknowledged_;
+          std::lock_guard lock(mutex_);
           acks_.emplace_back(o.called, now);
         }
       } catch (const std::runtime_error&) {
         call.reset();
         at = (at + 1) % rig_.voters().size();
-        std::lock_guard lock(mutex_);
-        if (o.write) operations_[key].push_back(o);  // it may have happened, or may yet
+        if (o.write) tell(number, key, o);  // it may have happened, or may yet
         pause_for(5ms);
       }
       pause_for(Micros(static_cast<std::int64_t>(2000 + random() % 6000)));
@@ -108,12 +133,11 @@
   Rig& rig_;
   std::uint64_t seed_;
   std::atomic<bool> stop_{false};
-  std::atomic<std::uint64_t> acknowledged_{0};
   std::mutex mutex_;
   std::uint64_t calls_ = 0;
   std::optional<Micros> best_;
   std::vector<std::pair<Micros, Micros>> acks_;  // called, answered
-  std::map<std::string, std::vector<Operation>> operations_;
+  std::set<std::string> keys_;
   std::vector<std::thread> threads_;
 };
 
@@ -130,46 +154,33 @@
     for (auto& t : threads_)
       if (t.joinable()) t.join();
   }
-  Holds& holds() { return holds_; }
-  std::uint64_t accepted_stale() const { return accepted_stale_; }
-  std::uint64_t two_leaders() const { return two_leaders_; }
 
  private:
   void run(const std::string& name) {
     std::unique_ptr<app::FleetCall> call;
-    std::map<std::string, std::uint64_t> published;
+    bool anew = true;  // it may have come back with an earlier state that it then catches up from
     while (!stop_) {
       try {
         if (!call) call = std::make_unique<app::FleetCall>(rig_.address(name), "lab", 30'000);
         auto s = call->ask({{"do", "status"}}).at("status");
         auto owners = call->ask({{"do", "owners"}}).at("owners");
-        std::lock_guard lock(mutex_);
-        for (auto& h : s.at("holds"))
-          holds_.saw(Micros(s.at("clock_us").get<std::int64_t>()), name, h.at(0),
-                     h.at(1).get<std::uint64_t>());
-        if (s.value("role", "") == "leader") {
-          auto [it, fresh] = leaders_.emplace(s.at("term").get<std::uint64_t>(), name);
-          if (!fresh && it->second != name) ++two_leaders_;
-        }
-        for (auto& o : owners) {
-          auto& before = published[o.at("job").get<std::string>()];
-          auto by = o.at("published_by").get<std::uint64_t>();
-          if (by < before) ++accepted_stale_;
-          before = by;
-        }
+        json e = {{"node", name},
+                  {"clock_us", s.at("clock_us")},
+                  {"holds", s.at("holds")},
+                  {"published", json::array()}};
+        if (s.value("role", "") == "leader") e["leads"] = s.at("term");
+        for (auto& o : owners) e["published"].push_back({o.at("job"), o.at("published_by")});
+        if (std::exchange(anew, false)) e["anew"] = true;
+        rig_.history().add("sample", std::move(e));
       } catch (const std::exception&) {
         call.reset();
-        published.clear();  // it may come back with an earlier state that it then catches up from
+        anew = true;
       }
       pause_for(20ms);
     }
   }
   Rig& rig_;
   std::atomic<bool> stop_{false};
-  std::atomic<std::uint64_t> accepted_stale_{0}, two_leaders_{0};
-  std::mutex mutex_;
-  Holds holds_;
-  std::map<std::uint64_t, std::string> leaders_;
   std::vector<std::thread> threads_;
 };
 
@@ -338,13 +349,15 @@
   std::vector<double> leaderless;
   std::uint64_t stuck = 0;
   clients.first_after(rig.history().now(), 10s);
-  for (int i = 0; i < options.faults; ++i) {
+  const int faults = options.script.empty() ? options.faults : static_cast<int>(options.script.size());
+  for (int i = 0; i < faults; ++i) {
     auto leader = rig.leader();
     auto victim = !leader.empty() && draw.below(3) < 2 ? leader : draw.of(rig.voters());
     auto at = rig.history().now();
     std::optional<Micros> again;
     std::thread watch([&] { again = clients.first_after(at + 1ms, 30s); });
-    auto what = one_fault(rig, draw, victim, false);
+    auto what = options.script.empty() ? one_fault(rig, draw, victim, false)
+                                       : play(rig, options.script[static_cast<std::size_t>(i)], &victim);
     watch.join();
     // What lost the majority or slowed the disk lasts as long as it is made to: that is no election's time.
     bool counted = victim == leader && what != "majority killed" && what != "slow disk";
@@ -358,50 +371,22 @@
   clients.stop();
   bool agreed = settled(rig);
   sampler.stop();
-  // The last word on each register closes its history: an acknowledged write that is gone shows here.
-  auto operations = clients.operations();
-  std::uint64_t bad = 0, unchecked = 0, checked = 0, lost = 0;
-  for (auto& [key, list] : operations) {
-    Operation last;
-    last.called = rig.history().now();
-    json answer;
-    rig.soon([&] {
-      try {
-        answer = rig.ask(rig.leader(), {{"do", "get"}, {"key", key}}, 2000);
-      } catch (const std::exception&) {
-        return false;
-      }
-      return answer.value("ok", false);
-    });
-    last.value = answer.value("value", "");
-    last.answered = rig.history().now();
-    bool any =
-        std::any_of(list.begin(), list.end(), [](auto& x) { return x.write && x.answered != Micros::max(); });
-    lost += any && last.value.empty();
-    list.push_back(last);
-    bool gave_up = false;
-    checked += list.size();
-    if (!linearizable(list, &gave_up)) ++(gave_up ? unchecked : bad);
-  }
+  clients.last_words();
   std::uint64_t elections = 0;
   for (auto& name : rig.voters()) elections += count_in(rig.log(name), "group: leader in term");
   if (!options.history.empty()) rig.history().write(options.history);
-  return {{"seed", options.seed},
-          {"processes", o.voters},
-          {"faults", options.faults},
-          {"acknowledged", clients.acknowledged()},
-          {"lost", lost},
-          {"operations_checked", checked},
-          {"linearizable", bad == 0},
-          {"registers_not_decided", unchecked},
-          {"agreed_at_end", agreed},
-          {"two_leaders_in_a_term", sampler.two_leaders()},
-          {"elections", elections},
-          {"stuck", stuck},
-          {"leader_faults", leaderless.size()},
-          {"leaderless_ms_p50", percentile_of(leaderless, 0.5)},
-          {"leaderless_ms_p99", percentile_of(leaderless, 0.99)},
-          {"leaderless_ms", leaderless}};
+  auto row = to_json(judge(rig.history().events()));
+  row.update({{"seed", options.seed},
+              {"processes", o.voters},
+              {"faults", faults},
+              {"agreed_at_end", agreed},
+              {"elections", elections},
+              {"stuck", stuck},
+              {"leader_faults", leaderless.size()},
+              {"leaderless_ms_p50", percentile_of(leaderless, 0.5)},
+              {"leaderless_ms_p99", percentile_of(leaderless, 0.99)},
+              {"leaderless_ms", leaderless}});
+  return row;
 }
 
 json run_owner(const ExperimentOptions& options) {
@@ -455,12 +440,14 @@
   std::uint64_t taken_over_late = 0;
   std::vector<double> until_owned;
   double drain_ms = -1;
-  for (int i = 0; i < options.faults; ++i) {
+  const int faults = options.script.empty() ? options.faults : static_cast<int>(options.script.size());
+  for (int i = 0; i < faults; ++i) {
     auto job = draw.of(jobs);
     auto victim = rig.owner(job);
     if (victim.empty() || !std::count(rig.voters().begin(), rig.voters().end(), victim))
       victim = draw.of(rig.voters());
-    auto what = one_fault(rig, draw, victim, true);
+    auto what = options.script.empty() ? one_fault(rig, draw, victim, true)
+                                       : play(rig, options.script[static_cast<std::size_t>(i)], &victim);
     auto at = net::monotonic_now();
     if (!rig.soon([&] { return !rig.leader().empty() && all_owned(); }, kSettled)) ++taken_over_late;
     until_owned.push_back(static_cast<double>((net::monotonic_now() - at).count()) / 1000);
@@ -502,16 +489,18 @@
   for (auto& [id, s] : report.at("servers").items()) probes += s.at("probes").get<double>();
   if (!options.history.empty()) rig.history().write(options.history);
   json breaches = report.at("breaches");
+  auto verdict = judge(rig.history().events());
   return {{"seed", options.seed},
           {"processes", rig.all().size()},
-          {"faults", options.faults},
+          {"faults", faults},
           {"asked", sum.asked},
           {"served_share", sum.asked ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0},
           {"unanswered", sum.unanswered},
-          {"samples", sampler.holds().samples()},
-          {"owners_overlapping", sampler.holds().overlapping()},
+          {"samples", verdict.samples},
+          {"owners_overlapping", verdict.owners_overlapping},
+          {"two_leaders_in_a_term", verdict.two_leaders_in_a_term},
           {"stale_effects_attempted", attempted},
-          {"stale_effects_accepted", sampler.accepted_stale()},
+          {"stale_effects_accepted", verdict.stale_effects_accepted},
           {"elections", elections},
           {"grants_seen_by_n1", moves},
           {"not_owned_again", taken_over_late},
--- a/src/lab/faults/experiments.h
+++ b/src/lab/faults/experiments.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "lab/faults/script.h"
+
 namespace linenwinch::lab::faults {
 
 struct ExperimentOptions {
@@ -17,6 +19,7 @@
   double rate = 10;     // savings: requests a second at each proxy
   int lag_ms = 0;       // savings: of replicas that do not check the age themselves; 0: they check
   std::string history;  // write it to this file; empty: not
+  Script script;        // group, owner: these faults, in place of drawn ones; empty: drawn
 };
 
 // Elections, members and the log under faults, with clients that write and read registers of the group.
--- a/src/lab/faults/history.cpp
+++ b/src/lab/faults/history.cpp
@@ -1,6 +1,9 @@
 #include "lab/faults/history.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <fstream>
 #include <set>
 #include <stdexcept>
 #include <unordered_set>
@@ -99,4 +102,82 @@
   return count;
 }
 
+Verdict judge(const std::vector<nlohmann::json>& events) {
+  Verdict v;
+  std::map<std::string, std::vector<Operation>> registers;
+  std::map<std::string, std::string> last_words;
+  std::set<std::string> written;
+  Holds holds;
+  std::map<std::uint64_t, std::string> leaders;                          // by term
+  std::map<std::pair<std::string, std::string>, std::uint64_t> follows;  // node, job: token
+  for (auto& e : events) {
+    auto what = e.at("what").get<std::string>();
+    if (what == "call") {
+      auto key = e.at("key").get<std::string>();
+      Operation o;
+      o.write = e.at("write").get<bool>();
+      o.value = e.at("value").get<std::string>();
+      o.called = Micros(e.at("called_us").get<std::int64_t>());
+      if (e.contains("answered_us")) o.answered = Micros(e.at("answered_us").get<std::int64_t>());
+      if (o.write && o.answered != Micros::max()) {
+        ++v.acknowledged;
+        written.insert(key);
+      }
+      if (e.value("last", false)) last_words[key] = o.value;
+      ++v.operations;
+      registers[key].push_back(std::move(o));
+    } else if (what == "sample") {
+      auto node = e.at("node").get<std::string>();
+      auto at = Micros(e.at("clock_us").get<std::int64_t>());
+      ++v.samples;
+      for (auto& h : e.at("holds")) holds.saw(at, node, h.at(0), h.at(1).get<std::uint64_t>());
+      if (e.contains("leads")) {
+        auto [it, fresh] = leaders.emplace(e.at("leads").get<std::uint64_t>(), node);
+        if (!fresh && it->second != node) ++v.two_leaders_in_a_term;
+      }
+      if (e.value("anew", false)) std::erase_if(follows, [&](auto& f) { return f.first.first == node; });
+      for (auto& p : e.at("published")) {
+        auto& before = follows[{node, p.at(0).get<std::string>()}];
+        auto token = p.at(1).get<std::uint64_t>();
+        if (token < before) ++v.stale_effects_accepted;
+        before = token;
+      }
+    }
+  }
+  for (auto& [key, word] : last_words) v.lost += word.empty() && written.count(key);
+  for (auto& [key, operations] : registers) {
+    bool gave_up = false;
+    if (!linearizable(operations, &gave_up))
+      ++(gave_up ? v.registers_not_decided : v.registers_without_order);
+  }
+  v.owners_overlapping = holds.overlapping();
+  return v;
+}
+
+nlohmann::json to_json(const Verdict& v) {
+  return {{"acknowledged", v.acknowledged},
+          {"lost", v.lost},
+          {"operations_checked", v.operations},
+          {"linearizable", v.registers_without_order == 0},
+          {"registers_not_decided", v.registers_not_decided},
+          {"samples", v.samples},
+          {"owners_overlapping", v.owners_overlapping},
+          {"two_leaders_in_a_term", v.two_leaders_in_a_term},
+          {"stale_effects_accepted", v.stale_effects_accepted}};
+}
+
+std::vector<nlohmann::json> read_history(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(fmt::format("cannot read {}", path));
+  std::vector<nlohmann::json> events;
+  std::string line;
+  while (std::getline(file, line)) {
+    auto event = nlohmann::json::parse(line, nullptr, false);
+    if (!event.is_object() || !event.contains("what"))
+      throw std::runtime_error(fmt::format("{}: line {} is no event", path, events.size() + 1));
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
 }  // namespace linenwinch::lab::faults
--- a/src/lab/faults/history.h
+++ b/src/lab/faults/history.h
@@ -59,4 +59,26 @@
   std::uint64_t samples_ = 0;
 };
 
+// What the events of a run say, read from nothing else; also from a file that write() made. Events looked at:
+// - call: client, key, write, value, called_us, answered_us (absent: nobody knows how it ended), last (the
+// last
+//   word on a register, read when all faults were over);
+// - sample: node, clock_us, holds [[job, token]], leads (its term, absent: it does not), published
+//   [[job, token of what it follows]], anew (nothing earlier of this node is to be compared).
+struct Verdict {
+  std::uint64_t acknowledged = 0, operations = 0, lost = 0;  // lost: acknowledged, and the last word is empty
+  std::uint64_t registers_without_order = 0, registers_not_decided = 0;
+  std::uint64_t samples = 0, owners_overlapping = 0, two_leaders_in_a_term = 0, stale_effects_accepted = 0;
+  bool broken() const {
+    return lost + registers_without_order + owners_overlapping + two_leaders_in_a_term +
+               stale_effects_accepted >
+           0;
+  }
+};
+// Throws nlohmann::json::exception on an event that lacks what it must have.
+Verdict judge(const std::vector<nlohmann::json>& events);
+nlohmann::json to_json(const Verdict& verdict);
+// Throws std::runtime_error: no such file, or a line that is no event.
+std::vector<nlohmann::json> read_history(const std::string& path);
+
 }  // namespace linenwinch::lab::faults
--- a/tests/fleet/parts_test.cpp
+++ b/tests/fleet/parts_test.cpp
@@ -10,6 +10,7 @@
 
 #include "group/options.h"
 #include "lab/faults/history.h"
+#include "lab/faults/script.h"
 #include "lab/scratch.h"
 #include "peers/codec.h"
 #include "routing/facts.h"
@@ -313,5 +314,87 @@
   EXPECT_EQ(holds.overlapping(), 1u);
 }
 
+// One whole run in a few events; each case spoils it in one way, and the verdict names that one only.
+TEST(Checkers, AHistoryIsJudgedFromItsEventsAlone) {
+  using nlohmann::json;
+  auto call = [](const std::string& key, bool write, const std::string& value, int from, int to) {
+    json e = {{"what", "call"}, {"client", 0},    {"key", key},
+              {"write", write}, {"value", value}, {"called_us", from}};
+    if (to >= 0) e["answered_us"] = to;
+    return e;
+  };
+  auto sample = [](const std::string& node, int at, json holds, json published) {
+    return json{
+        {"what", "sample"}, {"node", node}, {"clock_us", at}, {"holds", holds}, {"published", published}};
+  };
+  const json list3 = json::array({json::array({"list", 3})}), list7 = json::array({json::array({"list", 7})});
+  const std::vector<json> good = {{{"what", "rig"}},
+                                  call("r1", true, "a", 0, 10),
+                                  call("r1", true, "b", 20, -1),
+                                  call("r1", false, "a", 30, 40),
+                                  sample("n1", 100, list3, list3),
+                                  sample("n2", 200, list7, list7),
+                                  sample("n1", 300, json::array(), list7)};
+  auto with = [&](std::vector<json> more) {
+    auto all = good;
+    all.insert(all.end(), more.begin(), more.end());
+    return lab::faults::judge(all);
+  };
+  auto last = call("r1", false, "b", 50, 60);
+  last["last"] = true;
+  auto v = with({last});
+  EXPECT_FALSE(v.broken());
+  EXPECT_EQ(v.acknowledged, 1u);
+  EXPECT_EQ(v.operations, 4u);
+  EXPECT_EQ(v.samples, 3u);
+  auto gone = call("r1", false, "", 50, 60);
+  gone["last"] = true;
+  v = with({gone});
+  EXPECT_EQ(v.lost, 1u);
+  EXPECT_EQ(v.registers_without_order, 1u);
+  v = with({last, call("r1", false, "a", 70, 80)});
+  EXPECT_EQ(v.registers_without_order, 1u);
+  EXPECT_EQ(v.lost, 0u);
+  EXPECT_EQ(with({sample("n1", 250, list3, list7)}).owners_overlapping, 1u);
+  auto leads = [&](const std::string& node) {
+    auto e = sample(node, 400, json::array(), json::array());
+    e["leads"] = 5;
+    return e;
+  };
+  EXPECT_EQ(with({leads("n1"), leads("n1")}).two_leaders_in_a_term, 0u);
+  EXPECT_EQ(with({leads("n1"), leads("n2")}).two_leaders_in_a_term, 1u);
+  EXPECT_EQ(with({sample("n2", 500, json::array(), list3)}).stale_effects_accepted, 1u);
+  auto anew = sample("n2", 500, json::array(), list3);
+  anew["anew"] = true;  // it came back with an earlier state
+  EXPECT_FALSE(with({anew}).broken());
+  EXPECT_THROW(with({{{"what", "call"}}}), json::exception);
+}
+
+TEST(Script, IsTakenWholeOrTurnedDownInOneLine) {
+  using nlohmann::json;
+  auto script = lab::faults::parse_script(json::parse(R"([
+    [{"do": "pause", "node": "leader"}, {"do": "wait", "ms": 200}, {"do": "resume", "node": "victim"}],
+    [{"do": "shape", "node": "n1", "to": "n2", "ms": 20, "bytes": 1000, "stall_after": 7}, {"do": "heal"}]])"));
+  ASSERT_EQ(script.size(), 2u);
+  EXPECT_EQ(script[0][1].ms, 200);
+  EXPECT_EQ(script[1][0].to, "n2");
+  EXPECT_EQ(script[1][0].stall_after, 7);
+  auto bad = [](const char* text, const char* why) {
+    try {
+      lab::faults::parse_script(json::parse(text));
+      ADD_FAILURE() << text;
+    } catch (const std::runtime_error& e) {
+      EXPECT_NE(std::string(e.what()).find(why), std::string::npos) << e.what();
+    }
+  };
+  bad("{}", "an array of faults");
+  bad("[[]]", "fault 1 is no array of steps");
+  bad(R"([[{"do": "heal"}, {"do": "explode"}]])", "fault 1, step 2: 'explode' is not known");
+  bad(R"([[{"do": "kill"}]])", "'kill' needs 'node'");
+  bad(R"([[{"do": "heal", "node": "n1"}]])", "'heal' has no 'node'");
+  bad(R"([[{"do": "wait", "ms": -5}]])", "no whole number from 0");
+  bad(R"([[{"do": "wait", "ms": 6000000}]])", "more than 600000 ms");
+}
+
 }  // namespace
 }  // namespace linenwinch
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "lab/faults/rig.h"
+#include "lab/faults/script.h"
 #include "lab/load.h"
 #include "lab/scratch.h"
 #include "peers/codec.h"
@@ -568,6 +569,30 @@
   CHECK(f->stand_in().rules().total() == 0);
 }
 
+TEST_CASE("group: faults from a script are played in order and found in the history") {
+  Fleet f(3, 1);
+  REQUIRE(f.put("k", "kept"));
+  auto script = parse_script(json::parse(R"([
+    [{"do": "pause", "node": "leader"}, {"do": "wait", "ms": 50}, {"do": "resume", "node": "victim"}],
+    [{"do": "kill", "node": "p1"}, {"do": "start", "node": "victim"}, {"do": "settle"}],
+    [{"do": "kill", "node": "owner nothing"}]])"));
+  std::string victim;
+  auto leader = f->leader();
+  CHECK(play(*f, script[0], &victim) == "pause leader, wait, resume victim");
+  CHECK(victim == leader);
+  play(*f, script[1], &victim);
+  CHECK(victim == "p1");
+  CHECK(f->running("p1"));
+  CHECK_THROWS_WITH(play(*f, script[2], &victim), "script: there is no owner nothing now");
+  std::vector<std::string> seen;
+  for (auto& e : f->history().events())
+    if (e.contains("node"))
+      seen.push_back(e.at("what").get<std::string>() + " " + e.at("node").get<std::string>());
+  const std::vector<std::string> wanted{"pause " + leader, "resume " + leader, "kill p1", "start p1"};
+  CHECK(std::search(seen.begin(), seen.end(), wanted.begin(), wanted.end()) != seen.end());
+  CHECK(f.get("k") == "kept");
+}
+
 TEST_CASE("group: an owner that holds the lease but does no work is relieved") {
   // The list service is out of reach of one process only: its owner hears nothing of it.
   Fleet f(3, 0, [](RigOptions& o) { o.group = {{"lease_ms", 1300}}; });
