Group: tell why a connection is closed; the gigabyte's test fails without its limit

The process test of noise passed without the limit on frames: the silence limit of 2.5 s closed the link as well. The node now logs what a peer did wrong, and the test waits for that line, also after a good greeting.

--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -404,6 +404,8 @@
   if (down != downstream_.end() && down->second.link == &link) downstream_.erase(down);
   auto it = std::find_if(accepted_.begin(), accepted_.end(), [&](auto& a) { return a.get() == &link; });
   if (it == accepted_.end()) return;
+  if (why.starts_with("it "))
+    say(Level::kWarning, fmt::format("closed a connection: {}", why));  // its own doing
   gone_.push_back(std::move(*it));
   accepted_.erase(it);
 }
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -1,5 +1,6 @@
 // The group as processes: the hard cases, each caused by the fault rig. Waits are for conditions; the only
 // times are those that the faults themselves last.
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
@@ -443,15 +444,36 @@
     [[maybe_unused]] auto sent = send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     timeval patience{10, 0};
     setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    char end;
-    return recv(fd.get(), &end, 1, 0) <= 0 && errno != EAGAIN;  // closed
+    std::array<char, 4096> answer;
+    ssize_t n;
+    while ((n = recv(fd.get(), answer.data(), answer.size(), 0)) > 0) {
+    }
+    return n == 0 || errno != EAGAIN;  // closed
+  };
+  // At once, and for what it said, not since it said no more.
+  auto told = [&](std::size_t count) {
+    return f->soon(
+        [&] { return times(f->log("n1"), "closed a connection: it sent what is no message") == count; });
   };
   std::mt19937_64 random(7);
   std::string noise;
   for (int i = 0; i < 100000; ++i) noise.push_back(static_cast<char>(random()));
   CHECK(send_bytes(noise));
-  CHECK(send_bytes(std::string("\x40\0\0\0", 4) + std::string(1000, 'x')));  // a gigabyte to come
-  CHECK(send_bytes(linenwinch::peers::frame({{"t", "raft"}, {"k", 2}})));    // before any greeting
+  CHECK(told(1));
+  auto gigabyte = std::string("\x40\0\0\0", 4) + std::string(1000, 'x');
+  CHECK(send_bytes(gigabyte));
+  CHECK(told(2));
+  auto hello = linenwinch::peers::frame({{"t", "hello"},
+                                         {"v", linenwinch::peers::kVersion},
+                                         {"least", linenwinch::peers::kLeastVersion},
+                                         {"installation", "lab"},
+                                         {"name", "x"},
+                                         {"id", 0},
+                                         {"kind", "tool"}});
+  CHECK(send_bytes(hello + gigabyte));  // also from one that greeted well
+  CHECK(told(3));
+  CHECK(send_bytes(linenwinch::peers::frame({{"t", "raft"}, {"k", 2}})));  // before any greeting
+  CHECK(f->soon([&] { return times(f->log("n1"), "it spoke before it greeted") == 1; }));
   CHECK_THROWS_WITH(app::FleetCall(f->address("n1"), "elsewhere"),
                     Catch::Contains("it is of the installation 'elsewhere'"));
   CHECK_THROWS_WITH(
