--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -253,12 +253,10 @@
 
   // Any answer proves life, whatever the list says.
   void heard(Member& m) {
-    if (m.muteAt != kNone) {
-      m.muteAt = kNone;
-      m.probeGap = quiet;
-      touch(groups[m.group]);
-    }
     m.heardAt = now;
+    if (std::exchange(m.muteAt, kNone) == kNone) return;
+    m.probeGap = quiet;
+    touch(groups[m.group]);
   }
 
   void mute(Member& m) {
@@ -274,10 +272,7 @@
   }
 
   void absorb(const MemberList& list) {
-    if (list.kind == ListKind::Failed) {
-      subscribed = false;
-      return;
-    }
+    if (list.kind == ListKind::Failed) return void(subscribed = false);
     std::map<MemberId, bool> named;
     for (auto& e : list.entries) {
       named[e.member] = true;
@@ -309,13 +304,13 @@
 
   // Those that have long gone are forgotten, or every choice looks through all there ever were.
   void prune() {
-    for (auto it = members.begin(); it != members.end();) {
-      Member& m = it->second;
+    std::erase_if(members, [&](auto& entry) {
+      const Member& m = entry.second;
       bool keep = m.condition != Condition::Gone || now - m.toldAt < forget || m.active ||
                   !m.flying.empty() || m.probeAt != kNone || set.removalNotBinding;
       if (!keep) std::erase(groups[m.group].members, &m);
-      it = keep ? std::next(it) : members.erase(it);
-    }
+      return !keep;
+    });
   }
 
   void condition(Member& m, Condition c) {
