Module: a plan of the fleet for reads, by shares of zones

The event Plan names, for each group, the share of the reads of this router's clients that each zone is to have, and what is spare beside it.

--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -140,8 +141,19 @@
 struct ClientGone {
   RequestId id = 0;
 };
+// Where the reads of this router's clients go, agreed on by the fleet; it replaces the last one whole. Groups
+// that it does not name, and all of them where it names none, are decided without it. What a group's shares
+// lack to 1 is refused at once, the least worth first.
+struct ZoneShare {
+  std::string zone;
+  double share = 0;  // of the reads: this zone is theirs
+  double spare = 0;  // of the reads: this zone is open to them as well, where it costs less or theirs fails
+};
+struct Plan {
+  std::vector<std::pair<GroupId, std::vector<ZoneShare>>> groups;
+};
 using Event = std::variant<MemberList, Request, Outcome, ProbeResult, StreamStarted, TimerFired, PeerMessage,
-                           ClientGone>;
+                           ClientGone, Plan>;
 
 // actions
 struct Send {
@@ -184,7 +196,8 @@
   // `now` never falls from one call to the next. Every action takes effect at `now`, in order.
   std::vector<Action> handle(Micros now, const std::vector<Event>& events);
 
-  std::size_t members() const;  // how many it keeps in mind, those that have gone just now included
+  std::size_t members() const;         // how many it keeps in mind, those that have gone just now included
+  double room(MemberId member) const;  // requests a second that it would send there beside those in flight
 
  private:
   struct State;
--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <stdexcept>
 #include <tuple>
 #include <unordered_map>
@@ -50,6 +51,8 @@
 constexpr double kSurelyLate = 5;        // of a class's latency: hardly any request is so long by itself
 constexpr int kLong = 4;                 // times the smallest aim: reads that are long against the others
 constexpr std::size_t kMarks = 20000;    // sessions remembered
+constexpr double kAll = 0.999;           // shares of a plan that add up to more leave nothing out
+constexpr double kMixStep = 0.01;        // weight of one read in the shares of classes
 constexpr std::uint64_t kTick = 1, kWake = 2;  // timers
 constexpr Micros kUnit{1000};                  // the least remaining time of a running read in cost1
 constexpr Micros kNone{INT64_MIN / 4};  // never, or unknown: far back, so that differences stay in range
@@ -69,6 +72,7 @@
 struct Member {
   MemberId id = 0;
   GroupId group = 0;
+  std::string zone;
   bool sameZone = true, sawDraining = false, active = false;
   Condition condition = Condition::Ready;
   Micros toldAt = kNone;                     // when the list first said draining or gone
@@ -124,6 +128,8 @@
   Micros need = kNone;           // session reads: the position that shows its last write
   std::vector<Attempt> attempts;
   int outs = 0;
+  bool planned = false;                             // its group has a plan
+  const ZoneShare *own = nullptr, *also = nullptr;  // by the plan: its zone, and one that is open to it too
 };
 
 struct Group {
@@ -146,6 +152,8 @@
   std::vector<Micros> tries;                        // by class: the longest time that a client gave a try
   std::vector<bool> seen;                           // classes of which any answer has come
   std::vector<double> work;                         // smoothed latency by class over all members
+  std::map<GroupId, std::vector<ZoneShare>> plans;  // of the fleet; none where there is no such plan
+  std::vector<double> mix;                          // under a plan: smoothed share of each class in all reads
   std::vector<Action> out;
   Micros wakeAt{0}, wakeSet = kNone, smallestAim{0}, now{0}, quiet{0}, tick{0}, halfBound{0}, forget{0};
   Micros tickAt{0}, paused{0};         // when the tick is due; how long this router has just stood still
@@ -289,6 +297,7 @@
         if (set.listRole != ListRole::Off && e.primary)
           m.role = Role::Primary;  // a hint, older than any claim
       }
+      m.zone = e.zone;
       m.sameZone = e.zone == set.zone;
       if (e.startedAt > m.startedAt) {
         if (m.roleAsOf < e.startedAt) m.role = m.roleAsOf == kNone ? m.role : Role::Unknown;
@@ -403,6 +412,41 @@
            now - std::max(m.missAt, m.sentAt) > quiet * 4;
   }
 
+  // The fleet's plan, kept in this one place: each read draws its zone and, as far as there is spare room, a
+  // second one, the same ones each time. False: no zone is left for it.
+  bool assign(Open& o) {
+    auto plan = plans.find(o.r.group);
+    o.planned = plan != plans.end() && !needsPrimary(o);
+    o.own = o.also = nullptr;
+    if (!o.planned) return true;
+    double all = 0, own = coin(o.r.id, ~2u), also = coin(o.r.id, ~3u);
+    for (auto& s : plan->second) all += s.share;
+    if (all < kAll && o.attempts.empty() && rank(o) >= all) return false;
+    own *= all;
+    for (auto& s : plan->second) {
+      if (!o.own && (own -= s.share) < 0) o.own = &s;
+      if (!o.also && (also -= s.spare) < 0) o.also = &s;
+    }
+    return true;
+  }
+  bool allowed(const Open& o, const Member& m) const {
+    return !o.planned || (o.own && o.own->zone == m.zone) || (o.also && o.also->zone == m.zone);
+  }
+  // From 0, the most worth for its work, to 1: where this read stands among all that come.
+  double rank(const Open& o) const {
+    auto value = [&](std::size_t k) { return std::pair(-set.classes[k].worth / work[k], k); };
+    double before = coin(o.r.id, ~4u) * mix[o.r.cls];
+    for (std::size_t k = 0; k < mix.size(); ++k)
+      if (value(k) < value(o.r.cls)) before += mix[k];
+    return before / std::max(std::accumulate(mix.begin(), mix.end(), 0.0), 1e-9);
+  }
+
+  void absorb(const Plan& e) {
+    plans = {e.groups.begin(), e.groups.end()};
+    mix.resize(set.classes.size(), 0.0);
+    for (auto& [id, g] : groups) touch(g);
+  }
+
   // ---- cost --------------------------------------------------------------------------------------------
 
   double average(const Member& m, std::size_t c) const {
@@ -525,6 +569,7 @@
         if (m == lead || m->muteAt != kNone || !mayUse(*m, false) || failedAt(o, *m)) continue;
         replicas = true;
         keptUp = keptUp || (m->position != kNone && m->lag - m->late <= cls(o).bound);
+        if (!allowed(o, *m)) continue;
         if (fresh(*m, need) == behind || (behind && !mayTry(*m, need)) || !room(g, *m, o)) continue;
         ranked.emplace_back(cost1(*m, c), m);
       }
@@ -534,7 +579,7 @@
     if (cls(o).level == ReadLevel::Any && cls(o).aim >= smallestAim * kLong)
       for (auto* m : g.members) {
         if (m == lead || m->muteAt != kNone || !mayUse(*m, false) || failedAt(o, *m)) continue;
-        if (coldPart(*m) < 1 || !room(g, *m, o)) continue;
+        if (!allowed(o, *m) || coldPart(*m) < 1 || !room(g, *m, o)) continue;
         replicas = true;
         if (cost1(*m, c) > us(cls(o).aim)) continue;
         bool stale = m->position < now - halfBound * 4;
@@ -602,7 +647,7 @@
     for (auto id : held) {
       auto it = open.find(id);
       if (it == open.end()) continue;
-      if (hopeless(g, it->second, writes)) {
+      if (!assign(it->second) || hopeless(g, it->second, writes)) {
         finish(it->second);
       } else {
         wait.push_back(&it->second);
@@ -912,6 +957,8 @@
     o.arrived = std::clamp(r.expires - lasts, now - paused, now);
     tries[r.cls] = lasts;
     for (auto* rate : {&arriving, &usual}) rate->add(now, work[r.cls]);
+    if (!plans.empty() && c.level != ReadLevel::Write && c.level != ReadLevel::Fresh)
+      for (std::size_t k = 0; k < mix.size(); ++k) mix[k] += kMixStep * ((k == r.cls) - mix[k]);
     o.useful = std::min(r.expires, o.arrived + c.aim);
     if (c.level == ReadLevel::Session) {
       if (set.carriedMarks) {
@@ -965,6 +1012,14 @@
 Router::Router(Settings settings, std::uint64_t seed)
     : state_(std::make_unique<State>(std::move(settings), seed)) {}
 std::size_t Router::members() const { return state_->members.size(); }
+double Router::room(MemberId member) const {
+  auto it = state_->members.find(member);
+  if (it == state_->members.end() || it->second.muteAt != kNone || it->second.condition != Condition::Ready)
+    return 0;
+  auto& work = state_->work;
+  double free = it->second.limit - static_cast<double>(it->second.flying.size());
+  return std::max(0.0, free) * 1e6 / *std::min_element(work.begin(), work.end());
+}
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -606,5 +606,112 @@
   EXPECT_EQ(only<Refuse>(router.handle(11s, {request(2, kAny, 10s)})).size(), 1u);
 }
 
+// A primary in zone a, and two replicas in each of a, b and c; the router stands in a.
+struct Zoned : ::testing::Test {
+  Zoned() : router(zoned(), 7) {
+    std::vector<MemberEntry> entries;
+    for (MemberId m = 1; m <= 7; ++m) {
+      auto e = entry(m, m == 1);
+      e.zone = zone_of(m);
+      entries.push_back(e);
+    }
+    router.handle(10s, {list(ListKind::Full, entries)});
+  }
+  static Settings zoned() {
+    auto s = settings();
+    s.zone = "a";
+    s.classes[kAny].worth = 1;
+    s.classes[kBounded].worth = 5;
+    return s;
+  }
+  static std::string zone_of(MemberId m) { return m <= 3 ? "a" : m <= 5 ? "b" : "c"; }
+  void plan(std::vector<ZoneShare> shares) { router.handle(now, {Plan{{{1, std::move(shares)}}}}); }
+  void hear(Micros at) {
+    for (MemberId m = 1; m <= 7; ++m) router.handle(at, {probed(m, at - 5ms, m == 1)});
+  }
+  // So many reads, each answered at once; the sends by zone, and under "" what was refused.
+  std::map<std::string, int> reads(int count, Class cls, std::set<std::string> silent = {}) {
+    std::map<std::string, int> went;
+    for (int i = 0; i < count; ++i) {
+      now += 5ms;
+      if (i % 20 == 0) hear(now);
+      auto actions = router.handle(now, {request(next++, cls, now + 2s)});
+      went[""] += static_cast<int>(only<Refuse>(actions).size());
+      for (auto& send : only<Send>(actions)) {
+        ++went[zone_of(send.member)];
+        auto status = silent.count(zone_of(send.member)) ? Status::Unreachable : Status::Success;
+        for (auto& again : only<Send>(router.handle(now + 1ms, {outcome(send, 0, status)}))) {
+          ++went[zone_of(again.member)];
+          router.handle(now + 2ms, {outcome(again, 1, Status::Success)});
+        }
+      }
+    }
+    return went;
+  }
+  Router router;
+  Micros now = 10s + 5ms;
+  RequestId next = 1;
+};
+
+TEST_F(Zoned, ReadsGoWhereThePlanSaysInItsShares) {
+  plan({{"a", 0.25, 0}, {"b", 0.75, 0}});
+  auto went = reads(800, kBounded);
+  EXPECT_NEAR(went["a"], 200, 60);
+  EXPECT_NEAR(went["b"], 600, 60);
+  EXPECT_EQ(went["c"], 0);  // closed
+  EXPECT_EQ(went[""], 0);
+  plan({{"c", 1, 0}});  // the next one replaces it whole
+  went = reads(100, kBounded);
+  EXPECT_EQ(went["c"], 100);
+  router.handle(now, {Plan{}});  // on its own again: by its own rule, the near ones first
+  went = reads(100, kBounded);
+  EXPECT_GT(went["a"], 50);
+  EXPECT_EQ(went[""], 0);
+}
+
+TEST_F(Zoned, APlanIsForReadsAndNeverLeadsToOldData) {
+  plan({{"c", 1, 0}});
+  hear(now);
+  auto sends = only<Send>(router.handle(now + 5ms, {request(9001, kWrite, 12s), request(9002, kFresh, 12s)}));
+  ASSERT_EQ(sends.size(), 2u);
+  EXPECT_EQ(sends[0].member, 1u);  // wherever the primary is
+  EXPECT_EQ(sends[1].member, 1u);
+  // Those of c lag by 2 s; the reads wait for them, though a and b are fresh.
+  auto then = now + 1s;
+  for (MemberId m = 1; m <= 7; ++m) router.handle(then, {probed(m, m >= 6 ? then - 2s : then, m == 1)});
+  EXPECT_TRUE(only<Send>(router.handle(then + 5ms, {request(9003, kBounded, then + 2s)})).empty());
+  auto late = only<Send>(router.handle(then + 20ms, {probed(7, then + 10ms, false)}));
+  ASSERT_EQ(late.size(), 1u);
+  EXPECT_EQ(late[0].member, 7u);
+}
+
+TEST_F(Zoned, WhatNoZoneBearsIsRefusedAtOnceTheLeastWorthFirst) {
+  plan({{"a", 0.4, 0}, {"b", 0.2, 0}});
+  int cheap = 0, dear = 0;
+  for (int i = 0; i < 600; ++i) {
+    (i % 2 ? dear : cheap) += reads(1, i % 2 ? kBounded : kAny)[""];
+    if (i == 199) cheap = dear = 0;  // by then it knows what comes
+  }
+  EXPECT_NEAR(cheap, 160, 30);  // four in ten of all, which is eight in ten of these
+  EXPECT_EQ(dear, 0);
+}
+
+TEST_F(Zoned, WhereItsZoneFailsAReadGoesOnAsFarAsThereIsSpareRoom) {
+  plan({{"a", 1, 0}, {"b", 0, 0.3}});
+  auto went = reads(600, kBounded, {"a"});
+  EXPECT_NEAR(went["b"], 180, 50);
+  EXPECT_EQ(went["c"], 0);
+}
+
+TEST_F(Zoned, RoomIsWhatALimitLeaves) {
+  hear(now);
+  auto before = router.room(4);
+  EXPECT_GT(before, 0);
+  plan({{"b", 1, 0}});
+  for (int i = 0; i < 4; ++i) router.handle(now, {request(next++, kBounded, now + 2s)});
+  EXPECT_LT(router.room(4) + router.room(5), 2 * before);
+  EXPECT_EQ(router.room(99), 0);
+}
+
 }  // namespace
 }  // namespace badgercourse::test
