Plan of zones: what is spare, so that a proxy may act before the next plan

By shares alone a zone's clients had nowhere to go until the next plan. Each plan now deals out what every zone has left, near first, among all who may use it: all of them at once, on this plan or the last, stay within what it bears, so a proxy that finds its zone dead may go on at once. What is asked for is smoothed (a true rise counts at once), or each second's swing made a plan.

--- a/src/placement/observe.cpp
+++ b/src/placement/observe.cpp
@@ -1,12 +1,14 @@
 #include "placement/observe.h"
 
-#include <set>
+#include <cmath>
 
 namespace linenwinch::placement {
 namespace {
 
 // Fewer attempts in a second say nothing: one lost request is no sign of a zone.
 constexpr std::uint64_t kLeastAttempts = 3;
+constexpr double kSmooth = 0.2, kRise = 0.2, kChance = 3;  // of what is asked for: weight of the newest
+constexpr double kForgotten = 0.01;                        // requests a second: nobody asks any more
 constexpr std::uint64_t kSlowTimes = 8;  // of the usual latency; a busy hour triples it at most
 
 // The name itself, or the unknown zone where a map of so many names is full.
@@ -53,6 +55,20 @@
   for (auto& [key, requests] : o.demand_) asked(key.first, key.second, requests);
 }
 
+void Demand::heed(const Observation& seen, double seconds) {
+  std::erase_if(rates_, [&](auto& r) { return r.second < kForgotten && !seen.demand().count(r.first); });
+  for (auto& [key, rate] : rates_)
+    if (!seen.demand().count(key)) rate -= kSmooth * rate;
+  for (auto& [key, requests] : seen.demand()) {
+    double now = static_cast<double>(requests) / seconds;
+    auto [it, fresh] = rates_.try_emplace(key, now);
+    double& rate = it->second;
+    // The square root of what was counted is chance.
+    bool rise = now - rate > kRise * rate + kChance * std::sqrt(static_cast<double>(requests)) / seconds;
+    rate += (rise ? 1 : kSmooth) * (now - rate);
+  }
+}
+
 Opinion judge(const Seen& s, std::uint64_t usual) {
   if (s.attempts < kLeastAttempts) return Opinion::kNone;
   auto lost = s.refused + s.timed_out + s.failed;
--- a/src/placement/observe.h
+++ b/src/placement/observe.h
@@ -55,6 +55,18 @@
   std::map<std::pair<Zone, SetId>, std::uint64_t> demand_;  // from, set: requests of this second
 };
 
+// What is asked for, requests a second, without the swings of single halves of a second; a true rise counts
+// at once.
+class Demand {
+ public:
+  using Rates = std::map<std::pair<Zone, SetId>, double>;
+  void heed(const Observation& seen, double seconds);
+  const Rates& rates() const { return rates_; }
+
+ private:
+  Rates rates_;
+};
+
 // What one proxy makes of its own second: nullopt is no voice. Half of all attempts lost, or ten times as
 // slow as usual, is ill; a few that failed are not.
 enum class Opinion { kNone, kWell, kIll };
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -14,6 +14,9 @@
 // Shares that differ by less stay as they were: what is asked for in a second swings by some 3 % both ways,
 // which is no reason for a new plan.
 constexpr double kSame = 0.06;
+// Of what is spare so much is dealt out anew; it stays while it is no more than all and no less than three
+// tenths: it follows every swing of what is asked for.
+constexpr double kDealSpare = 0.6, kStaySpare = 0.3, kLeastSpare = 0.02;
 constexpr double kEvacuateStep = 0.25;  // of a zone's capacity
 // A zone that loses so much of what it is sent serves nobody by staying open.
 constexpr double kDead = 0.9;
@@ -68,7 +71,8 @@
     return all;
   };
   auto own = closed(*this), others = closed(o);
-  return same(zones, o.zones) && same(own, others) && shares == o.shares && frozen == o.frozen;
+  return same(zones, o.zones) && same(own, others) && shares == o.shares && spares == o.spares &&
+         frozen == o.frozen;
 }
 
 std::vector<Zone> Planner::unknown(const Input& input) const {
@@ -78,6 +82,14 @@
   return {all.begin(), all.end()};
 }
 
+Demand::Rates Planner::asked(const Input& input) {
+  if (!input.asked.empty()) return input.asked;
+  Demand::Rates rates;
+  for (auto& [key, requests] : input.seen.demand())
+    rates[key] = static_cast<double>(requests) / input.seconds;
+  return rates;
+}
+
 // ---- what the observers agree on -------------------------------------------------------------------------
 
 Planner::Agreed Planner::link_health(const Zone& from, const Zone& to, const Input& input) const {
@@ -129,8 +141,7 @@
 bool Planner::rest_carries(const Plan& plan, const Zone& but, const Input& input) const {
   if (options_.flaw_no_room) return true;
   std::map<SetId, double> asked, borne;
-  for (auto& [key, requests] : input.seen.demand())
-    asked[key.second] += static_cast<double>(requests) / input.seconds * kBurst;
+  for (auto& [key, rate] : Planner::asked(input)) asked[key.second] += rate * kBurst;
   std::set<SetId> sets;
   for (auto& [key, supply] : input.supply) {
     if (key.second == but) {
@@ -207,8 +218,7 @@
       bool room = s->forced;
       if (!room) {
         std::map<SetId, double> asked, borne;
-        for (auto& [key, requests] : input.seen.demand())
-          asked[key.second] += static_cast<double>(requests) / input.seconds;
+        for (auto& [key, rate] : Planner::asked(input)) asked[key.second] += rate;
         for (auto& [key, supply] : input.supply)
           borne[key.first] += supply.warm * (key.second == zone ? kept : after.zones[key.second].part);
         room = std::all_of(asked.begin(), asked.end(), [&](auto& a) { return a.second <= borne[a.first]; });
@@ -278,18 +288,20 @@
 
 void Planner::share_out(Plan* plan, const Plan& last, const Input& input) const {
   std::map<SetId, std::map<Zone, double>> demand;
-  for (auto& [key, requests] : input.seen.demand())
-    demand[key.second][key.first] = static_cast<double>(requests) / input.seconds;
+  for (auto& [key, rate] : asked(input)) demand[key.second][key.first] = rate;
   std::map<SetId, std::map<Zone, double>> bears;  // of a set, by zone: what may be sent there
   for (auto& [key, supply] : input.supply) {
     auto it = plan->zones.find(key.second);
     bears[key.first][key.second] = supply.warm * (it == plan->zones.end() ? 1 : it->second.part);
   }
   plan->shares.clear();
-  auto usable = [&](const Zone& from, const Zone& to) {
-    auto it = plan->links.find({from, to});
-    return it == plan->links.end() || it->second.phase != Phase::kClosed;
-  };
+  plan->spares.clear();
+  // Whoever has proxies may ask at any moment: each has its place in the plan, for every set.
+  std::set<Zone> froms;
+  for (auto& [key, votes] : input.seen.votes()) froms.insert(key.first);
+  for (auto& [set, zones] : bears)
+    for (auto& from : froms) demand[set].try_emplace(from, 0);
+  auto usable = [&](const Zone& from, const Zone& to) { return this->usable(*plan, from, to); };
   for (auto& [set, clients] : demand) {
     auto& zones = bears[set];
     // Near first, each zone to its fill; then near first to the brim; in this order nobody's own zone is
@@ -315,16 +327,22 @@
         }
     // Half of the proxies may still follow the last plan: what a zone gets more of must fit beside all that
     // the last plan sends there.
-    auto old_share = [&](const Zone& from, const Zone& to) {
-      auto it = last.shares.find({set, from});
-      if (it == last.shares.end() || options_.flaw_no_overlap) return 0.0;
+    auto of = [set = set](auto& shares, const Zone& from, const Zone& to) {
+      auto it = shares.find({set, from});
+      if (it == shares.end()) return 0.0;
       auto share = it->second.find(to);
       return share == it->second.end() ? 0.0 : share->second;
     };
+    auto old_share = [&](const Zone& from, const Zone& to) {
+      return options_.flaw_no_overlap ? 0.0 : of(last.shares, from, to);
+    };
+    auto old_reach = [&](const Zone& from, const Zone& to) {
+      return options_.flaw_no_overlap ? 0.0 : of(last.shares, from, to) + of(last.spares, from, to);
+    };
     std::map<Zone, double> base, more;
     for (auto& [from, asked] : clients)
       for (auto& [to, most] : zones) {
-        double old = asked * old_share(from, to);
+        double old = asked * old_reach(from, to);
         base[to] += old;
         more[to] += std::max(0.0, want[{from, to}] - old);
       }
@@ -332,7 +350,7 @@
     std::map<std::pair<Zone, Zone>, double> next;
     for (auto& [from, asked] : clients)
       for (auto& [to, most] : zones) {
-        double old = asked * old_share(from, to), wish = want[{from, to}];
+        double old = asked * old_reach(from, to), wish = want[{from, to}];
         double grow = more[to] > kNothing ? std::clamp((most - base[to]) / more[to], 0.0, 1.0) : 0;
         double now = std::min(wish, old) + std::max(0.0, wish - old) * grow;
         next[{from, to}] = now;
@@ -377,6 +395,65 @@
         shares = it->second;
       }
     }
+    spread_spare(plan, last, set, clients, zones);
+  }
+}
+
+bool Planner::usable(const Plan& plan, const Zone& from, const Zone& to) const {
+  auto it = plan.links.find({from, to});
+  return it == plan.links.end() || it->second.phase != Phase::kClosed;
+}
+
+// What each zone has left beside this plan and the last one, dealt out by what is asked for, near first.
+void Planner::spread_spare(Plan* plan, const Plan& last, SetId set, const std::map<Zone, double>& clients,
+                           const std::map<Zone, double>& bears) const {
+  auto of = [&](auto& shares, const Zone& from, const Zone& to) {
+    auto it = shares.find({set, from});
+    if (it == shares.end()) return 0.0;
+    auto share = it->second.find(to);
+    return share == it->second.end() ? 0.0 : share->second;
+  };
+  std::map<std::pair<Zone, Zone>, double> spare;  // from, to
+  for (auto& [to, most] : bears) {
+    double by_share = 0, kept_open = 0, asking = 0, both = 0;
+    std::map<Zone, double> kept;  // followers of the last plan may still reach so far
+    for (auto& [from, asked] : clients) {
+      double share = of(plan->shares, from, to);
+      double reach = of(last.shares, from, to) + of(last.spares, from, to);
+      by_share += asked * share;
+      both += asked * std::max(reach, share);  // also by ways that are closed now: half may not know yet
+      if (!usable(*plan, from, to)) continue;
+      kept[from] = std::max(0.0, reach - share);
+      kept_open += asked * kept[from];
+      if (share < 1) asking += asked;
+    }
+    double room = most * options_.brim - by_share;
+    double keep = kept_open > kNothing ? std::clamp(room / kept_open, 0.0, 1.0) : 1;
+    double more = std::max(0.0, most * options_.brim - both);
+    for (auto& [from, open] : kept) {
+      bool asks = of(plan->shares, from, to) < 1 && asking > kNothing && most > 0;
+      double given = open * keep + (asks ? more / asking : 0);
+      if (most > 0) spare[{from, to}] = given;
+    }
+  }
+  for (auto& [from, asked] : clients) {
+    std::map<Zone, double> mine;
+    double left = 1;
+    auto old = last.spares.find({set, from});
+    bool same = true;
+    for (int distance = 0; distance <= 2; ++distance)
+      for (auto& [to, most] : bears) {
+        if (places_.distance(from, to) != distance) continue;
+        auto it = spare.find({from, to});
+        double all = it == spare.end() ? 0 : std::min(left, it->second), was = of(last.spares, from, to);
+        double given = std::floor(all * kDealSpare * 1e3) / 1e3;
+        if (given > kLeastSpare) mine[to] = given;
+        left -= all;
+        same = same && was <= all && was >= (all > kLeastSpare * 2 ? all * kStaySpare : 0);
+      }
+    auto& all = plan->spares[{set, from}];
+    all = !same ? mine : old != last.spares.end() ? old->second : std::map<Zone, double>{};
+    if (all.empty()) plan->spares.erase({set, from});
   }
 }
 
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -60,6 +60,9 @@
   // Of the requests of a set by clients of a zone: the share that each zone of servers gets. What is missing
   // to 1 is refused near home, at once.
   std::map<std::pair<SetId, Zone>, std::map<Zone, double>> shares;
+  // Beside them, where their own zone fails or another costs less: what each zone has left, dealt out among
+  // all who may use it, so that all of them together, using all of it at once, stay within what it bears.
+  std::map<std::pair<SetId, Zone>, std::map<Zone, double>> spares;
   std::vector<std::pair<Zone, Millis>> changes;  // of phases, the last minute's
   bool frozen = false;
   double refused(SetId set, const Zone& from) const;
@@ -67,13 +70,14 @@
 };
 
 struct Supply {     // of one set in one zone
-  double warm = 0;  // requests a second that its warm servers bear
+  double warm = 0;  // requests a second that its servers bear, as warm as they are
 };
 
 struct Input {
   Millis now = 0;
   Observation seen;                                 // of the last seconds, all proxies together
   double seconds = 1;                               // how many those are
+  Demand::Rates asked;                              // smoothed; empty: as it was just seen
   std::map<std::pair<SetId, Zone>, Supply> supply;  // by the list, and what is cold
 };
 
@@ -122,6 +126,10 @@
   bool dead(const Zone& zone, const Input& input) const;
   void heed(ZoneState* state, Agreed agreed, Millis now) const;
   void share_out(Plan* plan, const Plan& last, const Input& input) const;
+  void spread_spare(Plan* plan, const Plan& last, SetId set, const std::map<Zone, double>& clients,
+                    const std::map<Zone, double>& bears) const;
+  static Demand::Rates asked(const Input& input);
+  bool usable(const Plan& plan, const Zone& from, const Zone& to) const;
 
   Places places_;
   Options options_;
