--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -148,6 +148,10 @@
     throw std::runtime_error(
         fmt::format("operator's file {}: network.congestion: the kernel does not offer '{}'",
                     told.operator_path, told.own.congestion));
+  if (!net::set_source(told.own.source))
+    throw std::runtime_error(
+        fmt::format("operator's file {}: network.source: '{}' is no address of this machine",
+                    told.operator_path, told.own.source));
   if (told.own.workers.count > 1) return serve_with_workers(told, logger, log);
   net::Loop loop;
   std::optional<GroupRunner> group;
@@ -158,7 +162,8 @@
   options.watches = !told.own.group;
   proxy::Proxy proxy(loop, decider, options, log);
   if (told.own.group)
-    group.emplace(loop, proxy, *told.own.group, options, config.settings, config.seed, logger.sink("group"));
+    group.emplace(loop, proxy, decider, *told.own.group, options, config.settings, config.seed,
+                  logger.sink("group"));
   Signals signals(
       loop,
       [&] {
--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -7,12 +7,14 @@
 
 #include <boost/program_options.hpp>
 #include <cerrno>
+#include <charconv>
 #include <chrono>
 #include <cstring>
 #include <iostream>
 #include <stdexcept>
 #include <thread>
 
+#include "app/fleet_placement.h"
 #include "app/operator_file.h"
 #include "net/socket.h"
 #include "peers/codec.h"
@@ -38,7 +40,12 @@
     "  add NODE          take a voter in, once it has caught up\n"
     "  remove NODE       take a voter out (--id where a name was used again)\n"
     "  recover           this node goes on as the only voter; demands --consequence, spelled out\n"
-    "  put KEY VALUE     keep a setting in the group; get KEY reads it from the confirmed leader\n";
+    "  put KEY VALUE     keep a setting in the group; get KEY reads it from the confirmed leader\n"
+    "  placement show    the plan of zones: phases, reasons, who follows it\n"
+    "  placement explain SET    where the reads of a set go, by zone of clients\n"
+    "  placement evacuate ZONE  empty a zone in steps, where the others carry it (else --force)\n"
+    "  placement restore ZONE   and back, in steps\n"
+    "  placement freeze|resume  no new plan until resumed\n";
 
 void print(const json& j, bool as_json) {
   if (as_json) {
@@ -132,8 +139,8 @@
   po::options_description options("Options");
   options.add_options()("operator,o", po::value<std::string>()->default_value(""), "the operator's file")(
       "node", po::value<std::string>()->default_value(""), "ask this address (else the file's own listen)")(
-      "json", "print the answer as JSON")("id", po::value<std::uint64_t>()->default_value(0),
-                                          "remove: by id")(
+      "json", "print the answer as JSON")("force", "placement evacuate: though the others cannot carry it")(
+      "id", po::value<std::uint64_t>()->default_value(0), "remove: by id")(
       "consequence", po::value<std::string>()->default_value(""), "recover: what it costs, spelled out")(
       "help,h", "this text");
   po::options_description hidden;
@@ -195,6 +202,19 @@
     request["value"] = word(2, "VALUE");
   } else if (what == "get") {
     request["key"] = word(1, "KEY");
+  } else if (what == "placement") {
+    auto which = word(1, "show, explain, evacuate, restore, freeze or resume");
+    request["what"] = which;
+    if (which == "evacuate" || which == "restore") request["zone"] = word(2, "ZONE");
+    if (which == "evacuate") request["force"] = given.count("force") > 0;
+    if (which == "explain") {
+      auto text = word(2, "SET");
+      std::int64_t set = 0;
+      auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), set);
+      if (error != std::errc() || end != text.data() + text.size())
+        throw std::runtime_error(fmt::format("fleet placement explain: '{}' is no number of a set", text));
+      request["set"] = set;
+    }
   } else if (what == "recover") {
     request["consequence"] = given["consequence"].as<std::string>();
     if (request["consequence"] != kConsequence)
@@ -213,6 +233,20 @@
   }
   if (!answer.value("ok", false))
     throw std::runtime_error(fmt::format("fleet {}: {}", what, answer.value("why", "refused")));
+  if (what == "placement" && !as_json) {
+    auto which = request.at("what").get<std::string>();
+    if (which == "show")
+      std::cout << plan_in_words(answer);
+    else if (which == "explain")
+      std::cout << set_in_words(answer, request.at("set").get<std::int64_t>());
+    else
+      std::cout << fmt::format("plan {} says so{}\n", answer.value("plan", 0),
+                               answer.value("takes_ms", 0) > 0
+                                   ? fmt::format("; done in {:.0f} s where nothing is in the way",
+                                                 answer.value("takes_ms", 0) / 1000.0)
+                                   : "");
+    return 0;
+  }
   print(answer, as_json);
   return 0;
 }
--- a/src/app/group_runner.cpp
+++ b/src/app/group_runner.cpp
@@ -5,6 +5,11 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "placement/watcher.h"
 
 namespace linenwinch::app {
 namespace {
@@ -34,12 +39,82 @@
   proxy::ServerPool pool_;
 };
 
+// Proxies of one zone of clients, about, that look into zones where no request of theirs goes; two must.
+constexpr double kWatchers = 4;
+
+// Of the reads of a group, what its plan says for the clients of one zone.
+badgercourse::Plan for_zone(const placement::Plan& plan, const placement::Zone& zone) {
+  badgercourse::Plan own;
+  for (auto& [key, shares] : plan.shares) {
+    if (key.second != zone) continue;
+    std::map<std::string, badgercourse::ZoneShare> by_zone;
+    for (auto& [to, share] : shares) by_zone[to] = {to, share, 0};
+    if (auto it = plan.spares.find(key); it != plan.spares.end())
+      for (auto& [to, spare] : it->second) {
+        by_zone[to].zone = to;
+        by_zone[to].spare = spare;
+      }
+    auto& group = own.groups.emplace_back(key.first, std::vector<badgercourse::ZoneShare>{}).second;
+    for (auto& [to, share] : by_zone) group.push_back(share);
+  }
+  return own;
+}
+
 }  // namespace
 
-GroupRunner::GroupRunner(net::Loop& loop, proxy::Proxy& proxy, group::Options options,
-                         const proxy::ProxyOptions& of, const badgercourse::Settings& settings,
-                         std::uint64_t seed, net::Log log)
-    : loop_(loop), proxy_(proxy), mailbox_(loop) {
+// The proxy's eyes on zones, in its thread.
+class GroupRunner::Eyes : public proxy::Watching {
+ public:
+  Eyes(net::Loop& loop, const badgercourse::Settings& settings, placement::Zone own, bool watches)
+      : loop_(loop), warm_up_(settings.warmUp), watcher_(std::move(own), watches) {
+    for (auto& c : settings.classes)
+      reads_.push_back(c.level != badgercourse::ReadLevel::Write &&
+                       c.level != badgercourse::ReadLevel::Fresh);
+  }
+  void list(const discovery::MemberUpdate& whole) {
+    std::map<std::string, placement::Place> places;
+    auto unix =
+        std::chrono::duration_cast<group::Micros>(std::chrono::system_clock::now().time_since_epoch());
+    for (auto& m : whole.members) {
+      if (m.lifecycle != discovery::Lifecycle::kUp) continue;
+      group::Micros warm{0};
+      if (m.started_at_ms > 0) warm = loop_.now() + group::Micros(m.started_at_ms * 1000) + warm_up_ - unix;
+      places[m.id] = {m.cell, m.zone, warm};
+    }
+    watcher_.servers(std::move(places));
+  }
+  placement::Watcher& watcher() { return watcher_; }
+
+  void asked(const routing::Request& r) override {
+    if (reads_[r.cls]) watcher_.asked(r.cluster);
+  }
+  void sent(const routing::Decision& d, bool waited) override {
+    watcher_.sent(d.request, d.attempt, d.server, loop_.now(), waited);
+  }
+  void ended(const routing::Result& r) override {
+    using routing::Ending;
+    auto how = placement::Ended::kNothing;
+    if (r.ending == Ending::kServed || r.ending == Ending::kMissed) how = placement::Ended::kServed;
+    if (r.ending == Ending::kNoConnection) how = placement::Ended::kRefused;
+    if (r.ending == Ending::kTurnedAway) how = placement::Ended::kFull;
+    if (r.ending == Ending::kTimedOut) how = placement::Ended::kTimedOut;
+    if (r.ending == Ending::kError || r.ending == Ending::kReset) how = placement::Ended::kFailed;
+    if (r.role == routing::ServerRole::kPrimary) watcher_.leads(r.server);
+    watcher_.ended(r.request, r.attempt, r.server, how, r.taken);
+  }
+  void probed(const routing::ProbeResult& r) override { watcher_.probed(r.server, r.ok); }
+
+ private:
+  net::Loop& loop_;
+  group::Micros warm_up_;
+  std::vector<bool> reads_;  // by class
+  placement::Watcher watcher_;
+};
+
+GroupRunner::GroupRunner(net::Loop& loop, proxy::Proxy& proxy, routing::Decider& decider,
+                         group::Options options, const proxy::ProxyOptions& of,
+                         const badgercourse::Settings& settings, std::uint64_t seed, net::Log log)
+    : loop_(loop), proxy_(proxy), decider_(decider), mailbox_(loop) {
   signal(SIGXFSZ, SIG_IGN);  // a limit on files is a full disk, not the end
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
@@ -56,9 +131,25 @@
       if (c.bound.count() > 0) options.probe_every = std::min(options.probe_every, c.bound * 2 / 3);
     options.probe_every = std::max(options.probe_every, kLeastProbeEvery);
   }
+  if (options.placement) {
+    options.placement->warm_up = settings.warmUp;
+    options.placement->cold_share = settings.coldShare;
+    std::set<std::string> zones;
+    for (auto& [zone, region] : options.placement->regions) zones.insert(zone);
+    auto each = std::max(1.0, static_cast<double>(settings.routers) / static_cast<double>(zones.size()));
+    auto draw = static_cast<double>(std::hash<std::string>{}(options.name) >> 11) * 0x1p-53;
+    eyes_ = std::make_unique<Eyes>(loop, settings, settings.zone, draw * each < kWatchers);
+    eyes_->list(of.known);
+    proxy.dispatcher().watch(eyes_.get());
+  }
   group::Hooks hooks;
+  hooks.plan = [this, zone = settings.zone](std::optional<placement::Plan> plan) {
+    auto own = plan ? for_zone(*plan, zone) : badgercourse::Plan{};
+    mailbox_.post([this, own = std::move(own)] { proxy_.dispatcher().plan(own); });
+  };
   hooks.list = [this](discovery::MemberUpdate update) {
     mailbox_.post([this, update = std::move(update)] {
+      if (eyes_) eyes_->list(update);
       proxy_.dispatcher().await_facts(true);
       proxy_.given(update);
     });
@@ -83,8 +174,23 @@
                                         std::move(log));
 }
 
+void GroupRunner::start() {
+  node_->start();
+  if (eyes_) look_timer_ = loop_.at(loop_.now() + group::kObserveEvery, [this] { look(); });
+}
+
+void GroupRunner::look() {
+  look_timer_ = loop_.at(loop_.now() + group::kObserveEvery, [this] { look(); });
+  node_->observed(eyes_->watcher().take(loop_.now(), node_->following(),
+                                        [this](const std::string& server) { return decider_.room(server); }));
+  auto draw = static_cast<std::uint64_t>(loop_.now().count()) * 0x9e3779b97f4a7c15;
+  for (auto& server : eyes_->watcher().blind(draw >> 8)) proxy_.dispatcher().look_at(server);
+}
+
 GroupRunner::~GroupRunner() {
+  loop_.cancel(&look_timer_);
   node_.reset();
+  proxy_.dispatcher().watch(nullptr);
   proxy_.before_turn_end = [] {};
 }
 
--- a/src/app/group_runner.h
+++ b/src/app/group_runner.h
@@ -12,19 +12,26 @@
 class GroupRunner {
  public:
   // `loop` is the proxy's, which is not running yet. Throws std::runtime_error with one line.
-  GroupRunner(net::Loop& loop, proxy::Proxy& proxy, group::Options options, const proxy::ProxyOptions& of,
-              const badgercourse::Settings& settings, std::uint64_t seed, net::Log log);
+  GroupRunner(net::Loop& loop, proxy::Proxy& proxy, routing::Decider& decider, group::Options options,
+              const proxy::ProxyOptions& of, const badgercourse::Settings& settings, std::uint64_t seed,
+              net::Log log);
   ~GroupRunner();
-  void start() { node_->start(); }
+  void start();
   void leave() { node_->leave(); }
   void reconfigure(const std::string& discovery, std::vector<group::NodeAddress> nodes) {
     node_->reconfigure(discovery, std::move(nodes));
   }
 
  private:
+  class Eyes;
+  void look();
+
   net::Loop& loop_;
   proxy::Proxy& proxy_;
+  routing::Decider& decider_;
   net::Mailbox mailbox_;  // to the proxy's thread
+  std::unique_ptr<Eyes> eyes_;
+  net::Loop::TimerId look_timer_ = net::Loop::kNoTimer;
   std::unique_ptr<group::Node> node_;
 };
 
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -76,7 +76,10 @@
     o.connections_per_server = w.value("connections_per_server", o.connections_per_server);
     o.cpus = w.value("cpus", o.cpus);
   }
-  if (root.contains("network")) file.congestion = root.at("network").value("congestion", "");
+  if (root.contains("network")) {
+    file.congestion = root.at("network").value("congestion", "");
+    file.source = root.at("network").value("source", "");
+  }
   if (root.contains("group")) {
     auto& g = root.at("group");
     auto& o = file.group.emplace();
@@ -85,7 +88,25 @@
     o.listen = g.value("listen", "");
     o.directory = g.value("directory", "");
     for (auto& n : g.at("nodes")) o.nodes.push_back({n.value("name", ""), n.value("address", "")});
+    if (g.contains("placement")) {
+      auto& p = g.at("placement");
+      auto& places = o.placement.emplace();
+      for (auto& [region, zones] : p.at("regions").items())
+        for (auto& zone : zones)
+          if (!places.regions.emplace(zone.get<std::string>(), region).second)
+            throw ConfigError(
+                fmt::format("group.placement.regions: zone '{}' is in two regions", zone.get<std::string>()));
+      places.per_weight = p.value("requests_per_weight", 0.0);
+      auto span = [&](const char* key, group::Micros* to) {
+        if (p.contains(key)) *to = group::Micros(p.at(key).get<std::int64_t>() * 1000);
+      };
+      span("keep_ms", &places.keep);
+      span("dwell_ms", &places.dwell);
+      span("open_after_ms", &places.open_after);
+      span("step_ms", &places.step);
+    }
     if (o.voter()) o.jobs = {"list", "probe"};
+    if (o.voter() && o.placement) o.jobs.push_back("placement");
     o.jobs = g.value("jobs", o.jobs);
     auto millis = [&](const char* key, group::Micros* to) {
       if (g.contains(key)) *to = group::Micros(g.at(key).get<std::int64_t>() * 1000);
@@ -148,6 +169,7 @@
   differs(a.share_probes != b.share_probes, "workers.share_probes");
   differs(a.cpus != b.cpus, "workers.cpus");
   differs(running.congestion != read.congestion, "network.congestion");
+  differs(running.source != read.source, "network.source");
   differs(running.group.has_value() != read.group.has_value(), "group");
   if (running.group && read.group) {
     auto &c = *running.group, &d = *read.group;
@@ -155,7 +177,7 @@
                 c.directory != d.directory || c.voter() != d.voter() || c.jobs != d.jobs ||
                 c.heartbeat != d.heartbeat || c.election_min != d.election_min ||
                 c.election_max != d.election_max || c.lease != d.lease || c.fallback != d.fallback ||
-                c.probe_every != d.probe_every,
+                c.probe_every != d.probe_every || c.placement != d.placement,
             "group (all but nodes)");
   }
   return keys;
--- a/src/app/operator_file.h
+++ b/src/app/operator_file.h
@@ -17,6 +17,7 @@
   workers::GroupOptions workers;
   LogOptions log;
   std::string congestion;               // of sockets; empty: the system's own
+  std::string source;                   // address that connections leave from; empty: as the system chooses
   std::optional<group::Options> group;  // none: no thread, socket, file or allocation of it
 };
 
--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -119,6 +119,14 @@
   demand(o.heartbeat * 4 <= o.election_min && o.election_min * 3 <= o.election_max * 2,
          "group.election_ms must be four heartbeats at least, its end half as much again");
   demand(o.lease > o.election_max, "group.lease_ms must be longer than an election");
+  bool places = std::count(o.jobs.begin(), o.jobs.end(), "placement") > 0;
+  demand(!places || o.placement, "group.jobs: placement needs the section group.placement");
+  demand(!places || o.voter(), "group.jobs: placement is a voter's");
+  if (o.placement) {
+    demand(!o.placement->regions.empty(), "group.placement.regions names no zone");
+    demand(o.placement->per_weight > 0, "group.placement.requests_per_weight is missing");
+    demand(o.placement->keep > o.election_max, "group.placement.keep_ms must be longer than an election");
+  }
 }
 
 Node::Node(Options options, std::string discovery, discovery::Pace pace, discovery::MemberUpdate known,
@@ -141,6 +149,8 @@
       known_(std::move(known)) {
   for (unsigned char c : options_.name) random_ = (random_ ^ c) * 1099511628211ull;
   check(options_);
+  if (options_.voter() && options_.placement)
+    placement_ = std::make_unique<PlacementJob>(*options_.placement);
   if (options_.voter()) {
     std::string error;
     listener_ = net::listen_on(*net::parse_address(options_.listen), &error);
@@ -299,6 +309,7 @@
       work_timer_ = loop_.at(spread(kWorkEvery), [this] { work(); });
     }
     alive_timer_ = loop_.at(spread(kAliveEvery), [this] { watch_alone(); });
+    if (placement_) place_timer_ = loop_.at(spread(kObserveEvery), [this] { place(); });
     loop_.run([this] { end_of_turn(); });
   });
 }
@@ -401,7 +412,10 @@
     return;
   }
   auto down = downstream_.find(link.name);
-  if (down != downstream_.end() && down->second.link == &link) downstream_.erase(down);
+  if (down != downstream_.end() && down->second.link == &link) {
+    if (placement_) placement_->left(link.name);
+    downstream_.erase(down);
+  }
   auto it = std::find_if(accepted_.begin(), accepted_.end(), [&](auto& a) { return a.get() == &link; });
   if (it == accepted_.end()) return;
   if (why.starts_with("it "))
@@ -496,6 +510,10 @@
     deliver(m);
   } else if (t == "facts") {
     facts(m, &link);
+  } else if (t == "seen" || t == "sum") {
+    seen(link, m);
+  } else if (t == "placement") {
+    placement_asked(m);
   } else if (t == "want") {
     want_set(m.at("set").get<std::int64_t>(), &link);
   } else if (t == "follow") {
@@ -524,6 +542,16 @@
       // It has not caught up with what this node saw elsewhere. Nothing to do but wait.
     }
   } else if (t == "tool") {
+    if (m.value("do", "") == "placement") {
+      auto on = m;
+      on["t"] = "placement";
+      on["node"] = link.name;
+      on["via"] = options_.name;
+      auto answer = placement_tool(on);
+      if (answer.is_null()) placement_asked(on);
+      if (answer.is_object()) link.send(answer);
+      return;
+    }
     auto answer = tool(m);
     if (answer.is_object()) link.send(answer);
     if (answer.is_null()) {  // the leader's to answer
@@ -715,6 +743,7 @@
   applied_ = index;
   for (auto& [name, job] : ledger_.jobs()) fence_.admit(name, job.token);
   published_list();
+  published_plan();
 }
 
 void Node::apply(rc::Index index, const std::string& data) {
@@ -737,6 +766,8 @@
   }
   if (auto* publish = std::get_if<own::Publish>(&*command); publish && publish->job == "list")
     published_list();
+  else if (publish && publish->job == "placement")
+    published_plan();
 }
 
 // ---- followers -------------------------------------------------------------------------------------------
@@ -777,7 +808,7 @@
   std::vector<std::string> all;
   if (leaving_) return all;
   for (auto& job : options_.jobs) {
-    if (job == "list") all.push_back(job);
+    if (job == "list" || job == "placement") all.push_back(job);
     if (job != "probe") continue;
     std::set<std::int64_t> sets;
     for (auto& m : known_.members) sets.insert(m.cell);
@@ -1093,6 +1124,11 @@
     return;
   }
   spread(m, from);
+  if (job == "placement") {
+    // Its owner lives, and this node knows what it planned.
+    if (m.at("number").get<std::uint64_t>() <= plan_.number) plan_heard_ = net::monotonic_now();
+    return;
+  }
   if (job == "list") {
     // Its owner knows the list, and this node knows what the owner published.
     if (Micros((unix_ms() - m.at("at").get<std::int64_t>()) * 1000) > options_.fallback) return;
@@ -1121,8 +1157,12 @@
   }
   // A process that stood still itself has heard nothing for that reason: that says nothing of the group.
   auto now = net::monotonic_now();
-  if (now - looked_at_ > kAliveEvery * 3 && looked_at_.count() > 0) list_heard_ += now - looked_at_;
+  if (now - looked_at_ > kAliveEvery * 3 && looked_at_.count() > 0) {
+    list_heard_ += now - looked_at_;
+    plan_heard_ += now - looked_at_;
+  }
   looked_at_ = now;
+  watch_plan();
   bool alone = now - list_heard_ > alone_after_;
   if (alone == alone_) return;
   alone_ = alone;
@@ -1148,6 +1188,7 @@
             {"list_generation", known_published_ ? known_.generation : -1},
             {"stale_effects", stale_effects_ + ledger_.stale()},
             {"whole_lists", whole_lists_},
+            {"plan", following_.load()},
             {"state_age_ms", raft_ ? 0 : (net::monotonic_now() - state_heard_).count() / 1000},
             {"upstream", upstream_},
             {"followers", std::count_if(downstream_.begin(), downstream_.end(),
--- a/src/group/node.h
+++ b/src/group/node.h
@@ -22,6 +22,7 @@
 #include "discovery/pace.h"
 #include "discovery/watch.h"
 #include "group/options.h"
+#include "group/placement_job.h"
 #include "net/log.h"
 #include "net/mailbox.h"
 #include "ownership/lease.h"
@@ -55,6 +56,7 @@
   std::function<void(discovery::MemberUpdate)> list;  // whole, as published
   std::function<void(std::vector<Fact>)> facts;
   std::function<void(bool)> alone;  // true: nothing is heard of the list, ask by yourself
+  std::function<void(std::optional<placement::Plan>)> plan;  // the one to follow from now on; none: alone
   std::function<std::unique_ptr<Prober>(net::Loop&, Probed)> prober;
 };
 
@@ -72,6 +74,9 @@
   // This process wishes to know how far a server is and no fact said so: the owner of its set is to probe it
   // for a while. From any thread.
   void want(const std::string& server);
+  // What this process saw of zones of data servers, every half second. From any thread.
+  void observed(placement::Observation seen);
+  std::uint64_t following() const { return following_; }  // the plan in force here; 0: none. From any thread.
   // What may change while it runs.
   void reconfigure(std::string discovery, std::vector<NodeAddress> nodes);
   int port() const { return port_; }
@@ -146,6 +151,15 @@
   void want_set(std::int64_t set, peers::Link* from);
   void published_list();
   void watch_alone();
+  void seen(peers::Link& link, const json& message);
+  void place();
+  void publish_plan();
+  void published_plan();
+  void follow(bool on);
+  void watch_plan();
+  json plan_shown(const json& message) const;
+  json placement_tool(const json& message);
+  void placement_asked(const json& message);
   json tool(const json& message);
   void tool_at_leader(const json& message);
   void answer_tool(const json& request, json answer);
@@ -223,6 +237,17 @@
   Micros list_heard_{0}, alone_after_{0}, looked_at_{0};
   bool alone_ = false;
 
+  // job `placement`; null at followers and where there is no such section
+  std::unique_ptr<PlacementJob> placement_;
+  net::Loop::TimerId place_timer_ = net::Loop::kNoTimer;
+  placement::Plan plan_;                    // as committed
+  std::optional<placement::Plan> to_plan_;  // the owner's next
+  Micros planned_at_{0}, plan_heard_{0};
+  bool follows_ = false, left_plan_ = false;
+  std::atomic<std::uint64_t> following_{0};
+  std::set<std::string> unknown_zones_;
+  std::vector<std::pair<std::uint64_t, json>> plan_waiting_;  // operators, until their plan is committed
+
   // jobs `probe SET`
   std::unique_ptr<Prober> prober_;
   struct Turn {
--- a/src/lab/faults/experiments.h
+++ b/src/lab/faults/experiments.h
@@ -19,6 +19,7 @@
   double rate = 10;     // savings: requests a second at each proxy
   int lag_ms = 0;       // savings: of replicas that do not check the age themselves; 0: they check
   std::string history;  // write it to this file; empty: not
+  std::string only;     // zones: this fault alone; empty: all
   Script script;        // group, owner: these faults, in place of drawn ones; empty: drawn
 };
 
@@ -29,6 +30,10 @@
 // What owned jobs save: proxies each for itself, then with the jobs owned, in one run; a row each.
 nlohmann::json run_savings(const ExperimentOptions& options);
 
+// Zones of data servers lost under load, each proxy alone and by a common plan; a row for each fault and
+// mode.
+nlohmann::json run_zones(const ExperimentOptions& options);
+
 // All followers come back at once, and a voter that is `entries` behind.
 nlohmann::json run_return(const ExperimentOptions& options);
 
--- a/src/lab/faults/links.cpp
+++ b/src/lab/faults/links.cpp
@@ -1,5 +1,6 @@
 #include "lab/faults/links.h"
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <sys/socket.h>
 
@@ -68,6 +69,35 @@
   std::vector<std::unique_ptr<Pair>> pairs;
 };
 
+struct Links::Front : net::Handler {
+  Front(Links& l, std::string t, net::Address a) : links(l), to(std::move(t)), target(a) {}
+  ~Front() override {
+    if (listener) links.thread_.loop().remove(listener.get(), this);
+  }
+  void on_ready(std::uint32_t) override {
+    int error = 0;
+    while (auto fd = net::accept_from(listener.get(), &error)) {
+      sockaddr_in peer{};
+      socklen_t length = sizeof peer;
+      char text[INET_ADDRSTRLEN] = "";
+      getpeername(fd.get(), reinterpret_cast<sockaddr*>(&peer), &length);
+      inet_ntop(AF_INET, &peer.sin_addr, text, sizeof text);
+      auto from = links.sources_.find(text);
+      if (from == links.sources_.end()) continue;
+      auto it = links.links_.find({from->second, to});
+      if (it == links.links_.end()) continue;
+      auto there = net::start_connect(target, &error);
+      if (!there) continue;
+      std::erase_if(it->second->pairs, [](auto& p) { return p->closed; });
+      it->second->pairs.push_back(std::make_unique<Pair>(*it->second, std::move(fd), std::move(there)));
+    }
+  }
+  Links& links;
+  std::string to;
+  net::Address target;
+  net::Fd listener;
+};
+
 Links::Pair::Pair(Link& l, net::Fd accepted, net::Fd dialed) : link(l) {
   near.fd = std::move(accepted);
   far.fd = std::move(dialed);
@@ -172,7 +202,10 @@
 Links::Links() { thread_.start(); }
 
 Links::~Links() {
-  thread_.call([this] { links_.clear(); });
+  thread_.call([this] {
+    fronts_.clear();
+    links_.clear();
+  });
   thread_.stop();
 }
 
@@ -193,6 +226,31 @@
   return port;
 }
 
+void Links::source(const std::string& address, const std::string& from) {
+  thread_.call([&] { sources_[address] = from; });
+}
+
+void Links::pair(const std::string& from, const std::string& to) {
+  thread_.call([&] { links_[{from, to}] = std::make_unique<Link>(thread_.loop(), net::Address{}); });
+}
+
+int Links::add_front(const std::string& to, const std::string& address) {
+  int port = 0;
+  std::string error;
+  auto target = net::parse_address(address);
+  if (!target) throw std::runtime_error("no address: " + address);
+  thread_.call([&] {
+    auto front = std::make_unique<Front>(*this, to, *target);
+    front->listener = net::listen_on(*net::parse_address("127.0.0.1:0"), &error);
+    if (!front->listener) return;
+    port = net::local_port(front->listener.get());
+    thread_.loop().add(front->listener.get(), front.get());
+    fronts_.push_back(std::move(front));
+  });
+  if (port == 0) throw std::runtime_error(fmt::format("the front of {}: {}", to, error));
+  return port;
+}
+
 Links::Link& Links::link(const std::string& from, const std::string& to) {
   auto it = links_.find({from, to});
   if (it == links_.end()) throw std::invalid_argument(fmt::format("no link leads from {} to {}", from, to));
--- a/src/lab/faults/links.h
+++ b/src/lab/faults/links.h
@@ -32,6 +32,11 @@
   ~Links();
   // A port that leads from one process to another's address; both names are the rig's own.
   int add(const std::string& from, const std::string& to, const std::string& address);
+  // One port in front of a server, for dialers from anywhere: which pair's link a connection takes is told by
+  // the address it comes from. `pair` makes a link of that kind, without a port.
+  void source(const std::string& address, const std::string& from);
+  void pair(const std::string& from, const std::string& to);
+  int add_front(const std::string& to, const std::string& address);
   void set(const std::string& from, const std::string& to, LinkState state);
   void reset(const std::string& from, const std::string& to);  // RST on all its connections, both ends
   std::uint64_t passed(const std::string& from, const std::string& to);  // bytes
@@ -39,9 +44,12 @@
  private:
   struct Pair;
   struct Link;
+  struct Front;
   Link& link(const std::string& from, const std::string& to);
 
   std::map<std::pair<std::string, std::string>, std::unique_ptr<Link>> links_;
+  std::map<std::string, std::string> sources_;  // by address
+  std::vector<std::unique_ptr<Front>> fronts_;
   LoopThread thread_;
 };
 
--- a/src/lab/faults/rig.cpp
+++ b/src/lab/faults/rig.cpp
@@ -18,8 +18,23 @@
 }  // namespace
 
 Rig::Rig(RigOptions options) : options_(std::move(options)) {
-  stand_in_ = std::make_unique<StandIn>(options_.stand_in);
   links_ = std::make_unique<Links>();
+  for (std::size_t i = 0; i < options_.zones.size(); ++i) {
+    auto& zone = options_.zones[i].name;
+    links_->source(fmt::format("127.0.{}.1", i + 1), zone);
+    for (auto& other : options_.zones) links_->pair(zone, other.name);
+  }
+  if (!options_.zones.empty()) {
+    options_.stand_in.zones.clear();
+    for (auto& zone : options_.zones) options_.stand_in.zones.push_back(zone.name);
+    options_.stand_in.front = [this](const std::string& zone, int port) {
+      return fmt::format("127.0.0.1:{}", links_->add_front(zone, fmt::format("127.0.0.1:{}", port)));
+    };
+    options_.stand_in.lag_between = [this](const std::string& a, const std::string& b) {
+      return a == b ? Micros(0) : region_of(a) == region_of(b) ? options_.near_lag : options_.far_lag;
+    };
+  }
+  stand_in_ = std::make_unique<StandIn>(options_.stand_in);
   std::vector<std::string> names;
   for (int i = 1; i <= options_.voters; ++i) voters_.push_back(fmt::format("n{}", i));
   names = voters_;
@@ -42,6 +57,11 @@
       }
       group["nodes"].push_back({{"name", other}, {"address", to}});
     }
+    if (options_.placement) {
+      json regions = json::object();
+      for (auto& zone : options_.zones) regions[zone.region].push_back(zone.name);
+      group["placement"] = {{"regions", regions}, {"requests_per_weight", options_.per_weight}};
+    }
     group.merge_patch(options_.group);
     fs::create_directories(folder(name));
     auto& d = p.options;
@@ -57,6 +77,19 @@
     d.settings["NInstances"] = names.size();
     p.client_port = d.port = free_port();
     if (options_.grouped) d.operator_file = {{"group", group}};
+    if (!options_.zones.empty()) {
+      auto at = i % options_.zones.size();
+      p.zone = options_.zones[at].name;
+      d.settings["Zone"] = p.zone;
+      if (d.operator_file.is_null()) d.operator_file = json::object();
+      auto source = fmt::format("127.0.{}.1", at + 1);
+      if (std::count(options_.own_ways.begin(), options_.own_ways.end(), name)) {
+        source = fmt::format("127.1.{}.1", i + 1);
+        links_->source(source, name);
+        for (auto& zone : options_.zones) links_->pair(name, zone.name);
+      }
+      d.operator_file["network"] = {{"source", source}};
+    }
     auto slow = fs::path(options_.program).parent_path() / kSlowSync;
     if (voter && fs::exists(slow)) {
       std::ofstream(folder(name) + "/slow") << "0";
@@ -67,6 +100,7 @@
   }
   history_.add("rig",
                {{"voters", options_.voters}, {"followers", options_.followers}, {"seed", options_.seed}});
+  heal();
   for (auto& name : names) start(name);
   if (!options_.grouped || !options_.initialise) return;
   json ids = json::array();
@@ -229,6 +263,61 @@
 void Rig::heal() {
   history_.add("heal");
   each_link([](auto&, auto&) { return true; }, LinkState{});
+  for (auto& a : options_.zones)
+    for (auto& b : options_.zones) links_->set(a.name, b.name, between(a, b));
+  for (auto& name : options_.own_ways)
+    for (auto& b : options_.zones)
+      links_->set(name, b.name, between({zone_of(name), region_of(zone_of(name))}, b));
+  for (auto& [from, to] : linked_)
+    if (!options_.zones.empty() && zone_of(from) != zone_of(to)) {
+      LinkState s;
+      s.delay = region_of(zone_of(from)) == region_of(zone_of(to)) ? options_.near_delay : options_.far_delay;
+      links_->set(from, to, s);
+    }
+}
+
+LinkState Rig::between(const RigZone& a, const RigZone& b) const {
+  LinkState s;
+  if (a.name != b.name) s.delay = a.region == b.region ? options_.near_delay : options_.far_delay;
+  return s;
+}
+
+std::string Rig::region_of(const std::string& zone) const {
+  for (auto& z : options_.zones)
+    if (z.name == zone) return z.region;
+  return "";
+}
+
+std::vector<std::string> Rig::in_zone(const std::string& zone) const {
+  std::vector<std::string> names;
+  for (auto& name : all())
+    if (zone_of(name) == zone) names.push_back(name);
+  return names;
+}
+
+void Rig::cut_zone_way(const std::string& from, const std::string& to) {
+  history_.add("cut zone way", {{"from", from}, {"to", to}});
+  LinkState cut;
+  cut.hold_there = cut.hold_back = true;
+  links_->set(from, to, cut);
+}
+
+void Rig::cut_zones(const std::string& a, const std::string& b) {
+  history_.add("cut zones", {{"a", a}, {"b", b}});
+  LinkState cut;
+  cut.hold_there = cut.hold_back = true;
+  links_->set(a, b, cut);
+  links_->set(b, a, cut);
+  each_link(
+      [&](auto& from, auto& to) {
+        return (zone_of(from) == a && zone_of(to) == b) || (zone_of(from) == b && zone_of(to) == a);
+      },
+      cut);
+}
+
+void Rig::isolate_zone(const std::string& zone) {
+  for (auto& other : options_.zones)
+    if (other.name != zone) cut_zones(zone, other.name);
 }
 
 json Rig::ask(const std::string& name, json request, int patience_ms) {
--- a/src/lab/faults/rig.h
+++ b/src/lab/faults/rig.h
@@ -20,6 +20,10 @@
 
 using nlohmann::json;
 
+struct RigZone {
+  std::string name, region;
+};
+
 struct RigOptions {
   std::string program, folder;
   int voters = 3, followers = 0;
@@ -29,6 +33,14 @@
   StandInOptions stand_in;
   json settings = json::object();
   std::uint64_t seed = 1;
+  // Processes, voters first, are dealt out over these in turn, and so are data servers; every connection from
+  // a proxy to a data server takes the link of their zones. Empty: one place, and no such links.
+  std::vector<RigZone> zones;
+  Micros near_delay{500}, far_delay{10'000};  // each way: between zones of a region, and of two
+  Micros near_lag{5'000}, far_lag{40'000};    // of replicas, beside what all have
+  std::vector<std::string> own_ways;  // processes whose ways to servers are no others': links (name, zone)
+  bool placement = false;             // the plan of zones is on
+  double per_weight = 0;              // what a server of weight 1 bears, as the plan is told
 };
 
 class Rig {
@@ -70,6 +82,16 @@
   void reset_links(const std::string& name);
   void heal();  // all links
 
+  // Zones. `cut_zones` is for servers' connections and the daemons' own, both ways.
+  const std::string& zone_of(const std::string& name) const { return processes_.at(name).zone; }
+  std::vector<std::string> in_zone(const std::string& zone) const;
+  void cut_zones(const std::string& a, const std::string& b);
+  void cut_zone_way(const std::string& from,
+                    const std::string& to);  // proxies of one to servers of the other
+  void isolate_zone(const std::string& zone);
+  std::uint64_t passed(const std::string& from, const std::string& to) { return links_->passed(from, to); }
+  std::string region_of(const std::string& zone) const;
+
   // Tools. Throw std::runtime_error where there is no answer.
   json ask(const std::string& name, json request, int patience_ms = 1000);
   std::optional<json> status(const std::string& name, int patience_ms = 500);
@@ -81,20 +103,21 @@
 
  private:
   struct Process {
-    std::string address;
+    std::string address, zone;
     DaemonOptions options;
     int client_port = 0;
     std::unique_ptr<Daemon> daemon;
     std::string earlier_log;
     bool paused = false;
   };
+  LinkState between(const RigZone& a, const RigZone& b) const;
   void each_link(const std::function<bool(const std::string&, const std::string&)>& chosen, LinkState state);
 
   RigOptions options_;
   History history_;
   std::vector<std::string> voters_;
-  std::unique_ptr<StandIn> stand_in_;
   std::unique_ptr<Links> links_;
+  std::unique_ptr<StandIn> stand_in_;
   std::vector<std::pair<std::string, std::string>> linked_;
   std::map<std::string, Process> processes_;
 };
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kReadCap = 1 << 20;
 constexpr Micros kSettle{2'500'000};  // after the end, what is out may still be answered
 constexpr Micros kReconnect{20'000};
+constexpr Micros kSeries{500'000};
 
 enum Cls { kBrowse, kOwnView, kBook };
 constexpr const char* kClassNames[] = {"browse", "own-view", "book"};
@@ -223,6 +224,7 @@
 void Client::ask(Ask a) {
   auto& o = owner_.options;
   ++owner_.figures.asked;
+  if (a.tries == 0) ++owner_.figures.series[a.first / kSeries].first;
   auto id = fmt::format("{}{}-{}", o.prefix, number_, owner_.next_id++);
   auto name = fmt::format("{}k{}-{}", o.prefix, number_, a.session);
   auto left = o.wait_ms;
@@ -315,6 +317,8 @@
       wrote_[static_cast<std::size_t>(a.session)] = std::chrono::duration_cast<std::chrono::milliseconds>(
                                                         std::chrono::system_clock::now().time_since_epoch())
                                                         .count();
+    auto& o = owner_.options;
+    if (now - a.first <= (a.cls == kBook ? o.book_aim : o.aim)) ++f.series[a.first / kSeries].second;
     if (!owner_.measured(a)) return;
     ++f.served;
     auto us = std::max(1.0, static_cast<double>((now - a.intended).count()));
@@ -359,6 +363,10 @@
     if (!fresh) it->second += histogram;
   }
   all += o.all;
+  for (auto& [at, n] : o.series) {
+    series[at].first += n.first;
+    series[at].second += n.second;
+  }
   seconds = std::max(seconds, o.seconds);
   cpu_seconds.insert(cpu_seconds.end(), o.cpu_seconds.begin(), o.cpu_seconds.end());
   longest_gap_ms = std::max(longest_gap_ms, o.longest_gap_ms);
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -25,8 +25,9 @@
   double own_view = 0.2, book = 0.1;     // shares of the classes; the rest browses
   int sessions = 64;                     // of each connection
   std::vector<std::int64_t> sets{1};
-  int wait_ms = 2000;  // what the client says it waits
-  bool retry = true;   // comes back after a refusal, when told to, marked as a retry
+  int wait_ms = 2000;                        // what the client says it waits
+  Micros aim{500'000}, book_aim{1'200'000};  // in time, from the first try on
+  bool retry = true;                         // comes back after a refusal, when told to, marked as a retry
   int most_retries = 3;
   std::uint64_t seed = 1;
   RuleChecker* rules = nullptr;  // told of wrong values and of answers too many
@@ -46,6 +47,9 @@
   double seconds = 0;
   std::vector<double> cpu_seconds;  // of each load thread, while measuring
   double longest_gap_ms = 0;        // between two answers of all of one thread's clients
+  // By half a second of the monotonic clock in which a request was first asked: how many, and how many of
+  // those were served in time (LoadOptions::aim), whatever the number of tries.
+  std::map<std::int64_t, std::pair<std::uint64_t, std::uint64_t>> series;
   void add(const LoadFigures& other);
 };
 
--- a/src/lab/model.cpp
+++ b/src/lab/model.cpp
@@ -49,6 +49,15 @@
 Admission ServerModel::arrive(Micros now, std::int64_t unix_ms, const Job& job) {
   if (life_ == Life::kSilent || life_ == Life::kDown) return {Verdict::kNever, now};
   if (job.kind == Kind::kProbe) return {Verdict::kRun, now};
+  if (now < fallen_until_) return {Verdict::kTurnedAway, now};
+  if (options_.fall_inside > 0 && speed(now) < 1 && inside_ > options_.fall_inside * speed(now)) {
+    ++falls_;
+    fallen_until_ = now + options_.fall_for;
+    restart(fallen_until_);
+    return {Verdict::kTurnedAway, now};
+  }
+  if (fail_ > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < fail_)
+    return {Verdict::kFailed, now};
   if (life_ == Life::kDraining || inside_ >= static_cast<int>(options_.queue))
     return {Verdict::kTurnedAway, now};
   if (job.kind == Kind::kWrite && !primary_) return {Verdict::kNotPrimary, now};
@@ -63,6 +72,7 @@
   auto core = std::min_element(free_at_.begin(), free_at_.end());
   double us = options_.service_us * service_(random_) / speed(now);
   if (job.kind == Kind::kWrite) us *= options_.write_factor;
+  us *= slow_;
   *core = std::max(*core, now) + Micros(static_cast<std::int64_t>(us));
   return {Verdict::kRun, *core};
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -16,6 +16,11 @@
   return name;
 }
 
+std::optional<Address>& source() {
+  static std::optional<Address> address;
+  return address;
+}
+
 void no_delay(int fd) {
   int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -60,6 +65,20 @@
   return good;
 }
 
+bool set_source(const std::string& text) {
+  if (text.empty()) {
+    source().reset();
+    return true;
+  }
+  auto address = parse_address(text.find(':') == std::string::npos ? text + ":0" : "[" + text + "]:0");
+  if (!address) return false;
+  Fd probe(socket(address->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!probe || bind(probe.get(), reinterpret_cast<const sockaddr*>(&address->storage), address->length) != 0)
+    return false;
+  source() = address;
+  return true;
+}
+
 Fd listen_on(const Address& address, std::string* error, bool shared) {
   Fd fd(socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   int on = 1;
@@ -81,6 +100,15 @@
     return fd;
   }
   no_delay(fd.get());
+  if (source() && source()->storage.ss_family == address.storage.ss_family) {
+    int on = 1;  // the port is chosen with the connection, as without an address of its own
+    setsockopt(fd.get(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+    if (bind(fd.get(), reinterpret_cast<const sockaddr*>(&source()->storage), source()->length) != 0) {
+      *error = errno;
+      fd.reset();
+      return fd;
+    }
+  }
   if (connect(fd.get(), reinterpret_cast<const sockaddr*>(&address.storage), address.length) != 0 &&
       errno != EINPROGRESS) {
     *error = errno;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -24,6 +24,10 @@
 // allow it.
 bool set_congestion_control(const std::string& name);
 
+// All connections made from now on leave from this address ("10.0.0.4"; no port); empty: as the system
+// chooses. Call it before threads start. False, and nothing changes: it is no address of this machine.
+bool set_source(const std::string& address);
+
 // `shared`: several sockets of this process listen there, and the kernel deals clients out (SO_REUSEPORT).
 Fd listen_on(const Address& address, std::string* error, bool shared = false);
 Fd start_connect(const Address& address, int* error);  // an Fd even while EINPROGRESS
--- a/src/placement/observe.cpp
+++ b/src/placement/observe.cpp
@@ -9,7 +9,7 @@
 constexpr std::uint64_t kLeastAttempts = 3;
 constexpr double kSmooth = 0.2, kRise = 0.2, kChance = 3;  // of what is asked for: weight of the newest
 constexpr double kForgotten = 0.01;                        // requests a second: nobody asks any more
-constexpr std::uint64_t kSlowTimes = 8;  // of the usual latency; a busy hour triples it at most
+constexpr std::uint64_t kSlowTimes = 5;  // of the usual latency; a busy hour triples it at most
 
 // The name itself, or the unknown zone where a map of so many names is full.
 template <typename Map, typename Key>
@@ -24,6 +24,7 @@
   refused += o.refused;
   timed_out += o.timed_out;
   failed += o.failed;
+  full += o.full;
   latency_us += o.latency_us;
   postponed += o.postponed;
   cold += o.cold;
@@ -36,10 +37,9 @@
   seen_[key].add(seen);
 }
 
-void Observation::vote(const Zone& from, const Zone& zone, bool well) {
+void Observation::voted(const Zone& from, const Zone& zone, const Votes& votes) {
   std::pair key(from, zone);
-  if (!fits(votes_, key, kMostZones * kMostZones)) return;
-  votes_[key].add(well ? Votes{1, 0} : Votes{0, 1});
+  if (fits(votes_, key, kMostZones * kMostZones)) votes_[key].add(votes);
 }
 
 void Observation::asked(const Zone& from, SetId set, std::uint64_t requests) {
@@ -48,10 +48,30 @@
   demand_[key] += requests;
 }
 
+void Observation::leads(SetId set, const Zone& zone, std::uint64_t proxies) {
+  std::pair key(set, zone);
+  if (fits(primaries_, key, kMostZones * kMostSets)) primaries_[key] += proxies;
+}
+
+void Observation::follows(std::uint64_t plan, std::uint64_t proxies) {
+  followers_[plan] += proxies;
+  if (followers_.size() <= kMostPlans) return;
+  auto oldest = followers_.begin();  // with those that are older still
+  std::next(oldest)->second += oldest->second;
+  followers_.erase(oldest);
+}
+
+Observation Observation::demand_only() const {
+  Observation o;
+  o.demand_ = demand_;
+  return o;
+}
+
 void Observation::add(const Observation& o) {
+  for (auto& [key, n] : o.primaries_) leads(key.first, key.second, n);
+  for (auto& [plan, n] : o.followers_) follows(plan, n);
   for (auto& [key, seen] : o.seen_) saw(std::get<0>(key), std::get<1>(key), std::get<2>(key), seen);
-  for (auto& [key, votes] : o.votes_)
-    if (fits(votes_, key, kMostZones * kMostZones)) votes_[key].add(votes);
+  for (auto& [key, votes] : o.votes_) voted(key.first, key.second, votes);
   for (auto& [key, requests] : o.demand_) asked(key.first, key.second, requests);
 }
 
@@ -71,11 +91,12 @@
 
 Opinion judge(const Seen& s, std::uint64_t usual) {
   if (s.attempts < kLeastAttempts) return Opinion::kNone;
-  auto lost = s.refused + s.timed_out + s.failed;
-  if (lost * 2 >= s.attempts) return Opinion::kIll;
+  if ((s.refused + s.failed) * 2 >= s.attempts) return Opinion::kIll;
+  auto lost = s.refused + s.timed_out + s.failed + s.full;
+  if (lost * 2 >= s.attempts) return Opinion::kLate;
   auto answered = s.attempts - lost;
   bool slow = usual > 0 && s.latency_us > usual * kSlowTimes * answered;
-  return slow ? Opinion::kIll : Opinion::kWell;
+  return slow ? Opinion::kLate : Opinion::kWell;
 }
 
 }  // namespace linenwinch::placement
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -14,9 +14,10 @@
 // Shares that differ by less stay as they were: what is asked for in a second swings by some 3 % both ways,
 // which is no reason for a new plan.
 constexpr double kSame = 0.06;
-// Of what is spare so much is dealt out anew; it stays while it is no more than all and no less than three
-// tenths: it follows every swing of what is asked for.
-constexpr double kDealSpare = 0.6, kStaySpare = 0.3, kLeastSpare = 0.02;
+// What was dealt out of what is spare stays while a zone bears it at all and it is no less than this part of
+// what would be dealt now: that follows every swing of what is asked for.
+constexpr double kStaySpare = 0.6, kLeastSpare = 0.02;
+constexpr double kWorks = 0.5;
 constexpr double kEvacuateStep = 0.25;  // of a zone's capacity
 // A zone that loses so much of what it is sent serves nobody by staying open.
 constexpr double kDead = 0.9;
@@ -95,12 +96,15 @@
 Planner::Agreed Planner::link_health(const Zone& from, const Zone& to, const Input& input) const {
   auto it = input.seen.votes().find({from, to});
   if (it == input.seen.votes().end()) return Agreed::kNothing;
-  auto all = it->second.well + it->second.ill;
+  auto& v = it->second;
+  auto all = v.all();
   if (all < (options_.flaw_one_voice ? 1 : options_.least_voices)) return Agreed::kNothing;
-  if (static_cast<double>(it->second.ill) >= options_.ill * static_cast<double>(all)) return Agreed::kIll;
+  // One that is late and does what it can bear has too much to do: closing it would help nobody.
+  auto ill = v.ill + (works(to, input) ? 0 : v.late);
+  if (static_cast<double>(ill) >= options_.ill * static_cast<double>(all)) return Agreed::kIll;
   // One that sees all as dead keeps nothing closed either.
-  if (it->second.ill == 1 && all >= 3) return Agreed::kWell;
-  if (static_cast<double>(it->second.well) >= options_.well * static_cast<double>(all)) return Agreed::kWell;
+  if (ill == 1 && v.late <= 1 && all >= 3) return Agreed::kWell;
+  if (static_cast<double>(v.well) >= options_.well * static_cast<double>(all)) return Agreed::kWell;
   return Agreed::kNothing;
 }
 
@@ -111,17 +115,33 @@
   for (auto& [key, votes] : input.seen.votes()) {
     if (key.second != zone) continue;
     auto agreed = link_health(key.first, zone, input);
-    if (agreed == Agreed::kNothing && votes.well + votes.ill < options_.least_voices) continue;
+    if (agreed == Agreed::kNothing && votes.all() < options_.least_voices) continue;
     ++voices;
     ill += agreed == Agreed::kIll;
     well += agreed == Agreed::kWell;
   }
   if (options_.flaw_one_voice && ill > 0) return Agreed::kIll;
-  int needed = std::min(options_.least_zones, std::max(1, voices));
+  // Where all proxies stand in one zone there is nobody else to ask.
+  std::set<Zone> observers;
+  for (auto& [key, votes] : input.seen.votes())
+    if (votes.all() >= options_.least_voices) observers.insert(key.first);
+  int needed = std::min(options_.least_zones, std::max(1, static_cast<int>(observers.size())));
   if (ill >= needed && ill * 2 > voices) return Agreed::kIll;
   return voices > 0 && well * 2 > voices ? Agreed::kWell : Agreed::kNothing;
 }
 
+// It answers half of what it bears, or more: what is late there is late for its load.
+bool Planner::works(const Zone& zone, const Input& input) const {
+  double served = 0, bears = 0;
+  for (auto& [key, s] : input.seen.seen())
+    if (std::get<2>(key) == zone)
+      served +=
+          static_cast<double>(s.attempts - std::min(s.attempts, s.refused + s.timed_out + s.failed + s.full));
+  for (auto& [key, supply] : input.supply)
+    if (key.second == zone) bears += supply.warm;
+  return bears > 0 && served / input.seconds >= kWorks * bears;
+}
+
 // It serves nobody, by those of every zone that tried: also one that is cut from all others may serve its
 // own.
 bool Planner::dead(const Zone& zone, const Input& input) const {
@@ -130,7 +150,7 @@
     if (std::get<2>(key) != zone || s.attempts == 0) continue;
     auto& [attempts, lost] = tried[std::get<0>(key)];
     attempts += s.attempts;
-    lost += s.refused + s.timed_out + s.failed;
+    lost += s.refused + s.timed_out + s.failed;  // what was full is alive
   }
   return !tried.empty() && std::all_of(tried.begin(), tried.end(), [](auto& t) {
     return static_cast<double>(t.second.second) >= kDead * static_cast<double>(t.second.first);
@@ -336,13 +356,10 @@
     auto old_share = [&](const Zone& from, const Zone& to) {
       return options_.flaw_no_overlap ? 0.0 : of(last.shares, from, to);
     };
-    auto old_reach = [&](const Zone& from, const Zone& to) {
-      return options_.flaw_no_overlap ? 0.0 : of(last.shares, from, to) + of(last.spares, from, to);
-    };
     std::map<Zone, double> base, more;
     for (auto& [from, asked] : clients)
       for (auto& [to, most] : zones) {
-        double old = asked * old_reach(from, to);
+        double old = asked * old_share(from, to);
         base[to] += old;
         more[to] += std::max(0.0, want[{from, to}] - old);
       }
@@ -350,7 +367,7 @@
     std::map<std::pair<Zone, Zone>, double> next;
     for (auto& [from, asked] : clients)
       for (auto& [to, most] : zones) {
-        double old = asked * old_reach(from, to), wish = want[{from, to}];
+        double old = asked * old_share(from, to), wish = want[{from, to}];
         double grow = more[to] > kNothing ? std::clamp((most - base[to]) / more[to], 0.0, 1.0) : 0;
         double now = std::min(wish, old) + std::max(0.0, wish - old) * grow;
         next[{from, to}] = now;
@@ -395,7 +412,10 @@
         shares = it->second;
       }
     }
-    spread_spare(plan, last, set, clients, zones);
+    std::set<Zone> cold;
+    for (auto& [key, supply] : input.supply)
+      if (key.first == set && supply.cold) cold.insert(key.second);
+    spread_spare(plan, last, set, clients, zones, cold);
   }
 }
 
@@ -404,37 +424,31 @@
   return it == plan.links.end() || it->second.phase != Phase::kClosed;
 }
 
-// What each zone has left beside this plan and the last one, dealt out by what is asked for, near first.
+// What each zone has left beside this plan and the last one, for the loss of any one other zone: so much of
+// what that one serves may come here. A zone that is cold or being opened has nothing to spare.
 void Planner::spread_spare(Plan* plan, const Plan& last, SetId set, const std::map<Zone, double>& clients,
-                           const std::map<Zone, double>& bears) const {
+                           const std::map<Zone, double>& bears, const std::set<Zone>& cold) const {
   auto of = [&](auto& shares, const Zone& from, const Zone& to) {
     auto it = shares.find({set, from});
     if (it == shares.end()) return 0.0;
     auto share = it->second.find(to);
     return share == it->second.end() ? 0.0 : share->second;
   };
-  std::map<std::pair<Zone, Zone>, double> spare;  // from, to
+  std::map<Zone, double> serves;  // by this plan or the last one, whichever is more
+  for (auto& [to, most] : bears)
+    for (auto& [from, asked] : clients)
+      serves[to] += asked * std::max(of(plan->shares, from, to),
+                                     options_.flaw_no_overlap ? 0.0 : of(last.shares, from, to));
+  std::map<Zone, double> spare, fits;  // dealt anew; and what may stay as it was dealt
   for (auto& [to, most] : bears) {
-    double by_share = 0, kept_open = 0, asking = 0, both = 0;
-    std::map<Zone, double> kept;  // followers of the last plan may still reach so far
-    for (auto& [from, asked] : clients) {
-      double share = of(plan->shares, from, to);
-      double reach = of(last.shares, from, to) + of(last.spares, from, to);
-      by_share += asked * share;
-      both += asked * std::max(reach, share);  // also by ways that are closed now: half may not know yet
-      if (!usable(*plan, from, to)) continue;
-      kept[from] = std::max(0.0, reach - share);
-      kept_open += asked * kept[from];
-      if (share < 1) asking += asked;
-    }
-    double room = most * options_.brim - by_share;
-    double keep = kept_open > kNothing ? std::clamp(room / kept_open, 0.0, 1.0) : 1;
-    double more = std::max(0.0, most * options_.brim - both);
-    for (auto& [from, open] : kept) {
-      bool asks = of(plan->shares, from, to) < 1 && asking > kNothing && most > 0;
-      double given = open * keep + (asks ? more / asking : 0);
-      if (most > 0) spare[{from, to}] = given;
-    }
+    auto state = plan->zones.find(to);
+    bool whole = state == plan->zones.end() || state->second.part >= 1;
+    double room = most * options_.brim - serves[to], largest = 0;
+    for (auto& [other, load] : serves)
+      if (other != to) largest = std::max(largest, load);
+    if (!whole || cold.count(to) || room <= 0 || largest <= kNothing) continue;
+    spare[to] = std::min(1.0, room / largest);
+    fits[to] = (most - serves[to]) / largest;
   }
   for (auto& [from, asked] : clients) {
     std::map<Zone, double> mine;
@@ -444,12 +458,13 @@
     for (int distance = 0; distance <= 2; ++distance)
       for (auto& [to, most] : bears) {
         if (places_.distance(from, to) != distance) continue;
-        auto it = spare.find({from, to});
-        double all = it == spare.end() ? 0 : std::min(left, it->second), was = of(last.spares, from, to);
-        double given = std::floor(all * kDealSpare * 1e3) / 1e3;
+        bool open = usable(*plan, from, to) && of(plan->shares, from, to) < 1 && spare.count(to);
+        double given = open ? std::floor(std::min(left, spare[to]) * 1e3) / 1e3 : 0;
+        double was = of(last.spares, from, to);
         if (given > kLeastSpare) mine[to] = given;
-        left -= all;
-        same = same && was <= all && was >= (all > kLeastSpare * 2 ? all * kStaySpare : 0);
+        left -= given;
+        same =
+            same && was <= (open ? fits[to] : 0) && was >= (given > kLeastSpare * 2 ? given * kStaySpare : 0);
       }
     auto& all = plan->spares[{set, from}];
     all = !same ? mine : old != last.spares.end() ? old->second : std::map<Zone, double>{};
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,8 +61,8 @@
   // Of the requests of a set by clients of a zone: the share that each zone of servers gets. What is missing
   // to 1 is refused near home, at once.
   std::map<std::pair<SetId, Zone>, std::map<Zone, double>> shares;
-  // Beside them, where their own zone fails or another costs less: what each zone has left, dealt out among
-  // all who may use it, so that all of them together, using all of it at once, stay within what it bears.
+  // Beside them, where their own zone fails or is far costlier: what each zone has left, for the loss of any
+  // one other zone. All that one's clients together, using all of it at once, stay within what it bears.
   std::map<std::pair<SetId, Zone>, std::map<Zone, double>> spares;
   std::vector<std::pair<Zone, Millis>> changes;  // of phases, the last minute's
   bool frozen = false;
@@ -69,8 +70,9 @@
   bool same_but_number(const Plan& other) const;
 };
 
-struct Supply {     // of one set in one zone
-  double warm = 0;  // requests a second that its servers bear, as warm as they are
+struct Supply {       // of one set in one zone
+  double warm = 0;    // requests a second that its servers bear, as warm as they are
+  bool cold = false;  // some of them are not warm yet
 };
 
 struct Input {
@@ -124,10 +126,11 @@
   // `ahead`: changes that must still be possible after this one.
   bool spend(Plan* plan, const Zone& zone, Millis now, int ahead = 0) const;
   bool dead(const Zone& zone, const Input& input) const;
+  bool works(const Zone& zone, const Input& input) const;
   void heed(ZoneState* state, Agreed agreed, Millis now) const;
   void share_out(Plan* plan, const Plan& last, const Input& input) const;
   void spread_spare(Plan* plan, const Plan& last, SetId set, const std::map<Zone, double>& clients,
-                    const std::map<Zone, double>& bears) const;
+                    const std::map<Zone, double>& bears, const std::set<Zone>& cold) const;
   static Demand::Rates asked(const Input& input);
   bool usable(const Plan& plan, const Zone& from, const Zone& to) const;
 
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -18,6 +18,8 @@
 constexpr Micros kComeBackFull = 200ms;
 // A wish reaches the owner, is probed and told within some 60 ms where nothing is amiss.
 constexpr Micros kAwaitFact = 100ms;
+// A read that was sent so long after it came waited for a replica.
+constexpr Micros kWaited = 5ms;
 
 }  // namespace
 
@@ -57,7 +59,8 @@
   request.id = std::exchange(next_, next_ + step_);
   ++counters_.taken;
   auto guard = loop_.at(request.expires + kGuard, [this, id = request.id] { overdue(id); });
-  auto& open = open_[request.id] = {client, guard, std::string(name)};
+  auto& open = open_[request.id] = {client, guard, std::string(name), loop_.now()};
+  if (watching_) watching_->asked(request);
   if (!others_) names_.insert(open.name);  // nodes of the map stay where they are
   new_.push_back(request);
   return request.id;
@@ -98,6 +101,7 @@
 void Dispatcher::probe_ended(routing::ProbeResult result) {
   if (facts_) facts_->saw(result.server, result.ok);
   if (others_ && result.ok) others_->probed(result);
+  if (watching_) watching_->probed(result);
   probes_.push_back(std::move(result));
 }
 
@@ -119,6 +123,7 @@
     pool_.give_back(end.connection);
   }
   if (facts_) facts_->saw(end.result.server, end.result.ending);
+  if (watching_) watching_->ended(end.result);
   // A request that is no longer open here has had its end, whatever this attempt brought.
   end.result.closed = open_.count(end.result.request) == 0;
   decider_.report(loop_.now(), std::move(end.result));
@@ -183,6 +188,7 @@
     return ends_.push_back(std::move(never));
   }
   ++counters_.sends;
+  if (watching_) watching_->sent(d, loop_.now() - open_.at(d.request).since > kWaited);
   pool_.start(d.request, d.attempt, d.server, d.wait);
 }
 
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -26,6 +26,16 @@
   std::string stopped() const;  // the last line of a log
 };
 
+// Looks on, for the fleet's plan of zones.
+struct Watching {
+  virtual ~Watching() = default;
+  virtual void asked(const routing::Request& request) = 0;
+  // `waited`: it was not sent in the turn in which it came, but some time later.
+  virtual void sent(const routing::Decision& decision, bool waited) = 0;
+  virtual void ended(const routing::Result& result) = 0;
+  virtual void probed(const routing::ProbeResult& result) = 0;
+};
+
 class Dispatcher : public ServerEvents {
  public:
   // `others`: nullptr for a proxy by itself. Request ids are `first`, `first` + `step`, and so on.
@@ -51,6 +61,11 @@
   void fact(routing::ProbeResult result, Micros age);
   // Whether an owner is there whose facts are worth waiting for, a moment, before probing by itself.
   void await_facts(bool on) { await_facts_ = on; }
+  // nullptr: nobody. It must outlive this.
+  void watch(Watching* watching) { watching_ = watching; }
+  void plan(badgercourse::Plan plan) { decider_.plan(loop_.now(), std::move(plan)); }
+  // Beside the module's own wishes.
+  void look_at(const std::string& server) { probe(server); }
   // Takes a request; `request.id` is given here. The answer comes through the port, never within this call.
   // 0: a request of the same name is open. Both would reach the data server as attempts of one request.
   RequestId submit(ClientPort* client, routing::Request request, std::string_view name);
@@ -69,6 +84,7 @@
     ClientPort* client;
     net::Loop::TimerId guard;
     std::string name;  // by which the data server knows it
+    Micros since{0};
   };
   void settle(AttemptEnd& end);
   void send(const routing::Decision& decision);
@@ -93,6 +109,7 @@
   std::optional<routing::FactBook> facts_;
   std::function<void(const std::string&)> wanted_;
   bool await_facts_ = false;
+  Watching* watching_ = nullptr;
   std::vector<RequestId> left_;
   std::vector<routing::Request> new_;
   net::Loop::TimerId due_ = net::Loop::kNoTimer;
--- a/src/routing/decider.h
+++ b/src/routing/decider.h
@@ -21,6 +21,10 @@
   virtual void gone(Micros now, RequestId request) = 0;
   // False: it has no room for one more, and this request was not taken.
   virtual bool ask(Micros now, const Request& request) = 0;
+  // The fleet's plan, and what this router would send to a server beside what it has out there (requests a
+  // second). Only where decisions are made in this thread: a group of daemons goes with one worker.
+  virtual void plan(Micros, badgercourse::Plan) {}
+  virtual double room(const std::string&) const { return 0; }
   // What was decided since the last call, in order. `next_due`: call again by then.
   virtual Ticked collect(Micros now) = 0;
 };
@@ -41,6 +45,8 @@
     facade_.ask(now, request);
     return true;
   }
+  void plan(Micros now, badgercourse::Plan plan) override { facade_.plan(now, std::move(plan)); }
+  double room(const std::string& server) const override { return facade_.room(server); }
   Ticked collect(Micros now) override { return facade_.tick(now); }
 
  private:
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -161,6 +161,13 @@
   });
 }
 
+void Facade::plan(Micros, bc::Plan plan) { pending_.emplace_back(std::move(plan)); }
+
+double Facade::room(const std::string& server) const {
+  auto it = numbers_.find(server);
+  return it == numbers_.end() ? 0 : router_.room(it->second);
+}
+
 void Facade::ask(Micros now, const Request& request) {
   bc::Request r;
   r.id = request.id;
--- a/src/routing/facade.h
+++ b/src/routing/facade.h
@@ -99,6 +99,8 @@
   void report(Micros now, const Result& result);
   void report(Micros now, const ProbeResult& result);
   void gone(Micros now, RequestId request);  // its client has left, or it has had an answer not decided here
+  void plan(Micros now, badgercourse::Plan plan);  // replaces the last one whole
+  double room(const std::string& server) const;    // as Router::room; 0: not known
   Decision pick(Micros now, const Request& request);
   void ask(Micros now, const Request& request);  // the same; its decision comes with the next tick()
   Ticked tick(Micros now);
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -138,12 +138,22 @@
     }));
     CHECK(f.get("k") == std::to_string(n));
   }
+  // What it takes while it is cut off is never acknowledged: the others know nothing of it.
+  auto at_the_old_one = [&](const std::string& old) {
+    try {
+      return f->ask(old, {{"do", "put"}, {"key", "k"}, {"value", "of the old one"}}, 700).value("ok", false);
+    } catch (const std::runtime_error&) {
+      return false;
+    }
+  };
   leader = f->leader();
   f->mute(leader);
+  CHECK_FALSE(at_the_old_one(leader));
   again("heard by none", leader);
   f->heal();
   leader = f->leader();
   f->deafen(leader);
+  CHECK_FALSE(at_the_old_one(leader));
   again("hears none", leader);
   f->heal();
   CHECK(f.get("k") == std::to_string(n));
@@ -432,6 +442,24 @@
   }
   CHECK(f.put("k", "on"));
   CHECK(f.number(leader, "term") <= term + 1);
+  // Cut for longer than an election each time, it has tried for itself, and comes back without a term that
+  // would end the leader's.
+  leader = f->leader();
+  term = f.number(leader, "term");
+  other = f.other(leader);
+  for (int i = 0; i < 3; ++i) {
+    f->isolate(other);
+    CHECK(f->soon([&] {
+      auto s = f->status(other);
+      return s && s->value("role", "") != "follower";
+    }));
+    f->heal();
+    CHECK(f->soon([&] {
+      auto s = f->status(other);
+      return s && s->value("role", "") == "follower" && s->value("leader", "") != "";
+    }));
+  }
+  CHECK(f.number(f->leader(), "term") <= term + 1);
 }
 
 TEST_CASE(
@@ -667,6 +695,13 @@
 
 TEST_CASE("group: recovery from a lost majority demands the consequence, and keeps what this node knew") {
   Fleet f;
+  REQUIRE(f.owned("list"));
+  // Tokens of some height: a job changes hands when the log is long already.
+  f.fill(300);
+  auto owner = f->owner("list");
+  f->terminate(owner);
+  f->start(owner);
+  REQUIRE(f.owned("list"));
   REQUIRE(f.put("k", "kept"));
   auto one = f->voters()[0];
   REQUIRE(f->soon([&] { return f.number(one, "applied") == f.number(f->leader(), "applied"); }));
