--- a/src/lab/faults/experiments.h
+++ b/src/lab/faults/experiments.h
@@ -34,6 +34,10 @@
 // mode.
 nlohmann::json run_zones(const ExperimentOptions& options);
 
+// What observing and planning costs: many proxies, servers and sets, without the plan and with it; a row
+// each.
+nlohmann::json run_zones_cost(const ExperimentOptions& options);
+
 // All followers come back at once, and a voter that is `entries` behind.
 nlohmann::json run_return(const ExperimentOptions& options);
 
--- a/src/lab/faults/zones.cpp
+++ b/src/lab/faults/zones.cpp
@@ -233,4 +233,84 @@
   return rows;
 }
 
+json run_zones_cost(const ExperimentOptions& options) {
+  json rows = json::array();
+  for (bool planned : {false, true}) {
+    RigOptions o;
+    o.program = options.program;
+    o.folder = fmt::format("{}/{}", options.folder, planned ? "planned" : "alone");
+    o.voters = 3;
+    o.followers = std::max(3, (options.processes > 0 ? options.processes : 300) - o.voters);
+    o.seed = options.seed;
+    o.zones = {{"a", "north"}, {"b", "north"}, {"c", "south"}};
+    o.near_delay = o.far_delay = Micros(0);
+    o.placement = planned;
+    o.per_weight = kPerWeight;
+    o.stand_in.sets = 20;
+    o.stand_in.replicas = 5;
+    o.stand_in.seed = options.seed;
+    Rig rig(o);
+    if (!rig.soon([&] { return rig.owners().size() >= (planned ? 22u : 21u); }))
+      throw std::runtime_error("the jobs found no owners");
+    const auto names = rig.all();
+    const double rate = options.rate > 0 ? options.rate : 2;
+    std::vector<std::thread> loads;
+    std::mutex mutex;
+    LoadFigures sum;
+    struct Reading {
+      double cpu = 0, voters_cpu = 0, bytes = 0;
+    };
+    auto read = [&] {
+      Reading r;
+      for (auto& name : names) {
+        auto cpu = rig.daemon(name)->usage().cpu_seconds;
+        r.cpu += cpu;
+        if (std::count(rig.voters().begin(), rig.voters().end(), name)) r.voters_cpu += cpu;
+        for (auto& voter : rig.voters())
+          if (voter != name) r.bytes += static_cast<double>(rig.passed(name, voter));
+      }
+      return r;
+    };
+    for (std::size_t i = 0; i < names.size(); ++i)
+      loads.emplace_back([&, i] {
+        LoadOptions l;
+        l.target = *net::parse_address(fmt::format("127.0.0.1:{}", rig.port(names[i])));
+        l.connections = 1;
+        l.rate = rate;
+        l.length = Micros(static_cast<std::int64_t>(options.faults) * 1'000'000);
+        l.warm_up = Micros(0);
+        for (std::int64_t set = 2; set <= 20; ++set) l.sets.push_back(set);
+        l.seed = options.seed * 1000 + i;
+        l.prefix = fmt::format("k{}-", i);
+        auto f = run_load(l);
+        std::lock_guard lock(mutex);
+        sum.add(f);
+      });
+    std::this_thread::sleep_for(2s);  // what a start brings is over
+    auto before = read();
+    auto began = net::monotonic_now();
+    std::this_thread::sleep_for(std::chrono::seconds(std::max(4, options.faults - 4)));
+    auto after = read();
+    double seconds = static_cast<double>((net::monotonic_now() - began).count()) / 1e6;
+    for (auto& t : loads) t.join();
+    auto each = static_cast<double>(names.size());
+    double rss = 0;
+    for (auto& name : names) rss = std::max(rss, rig.daemon(name)->usage().rss_mb);
+    rows.push_back(
+        {{"mode", planned ? "planned" : "alone"},
+         {"seed", options.seed},
+         {"processes", names.size()},
+         {"servers", 120},
+         {"sets", 20},
+         {"rate_each", rate},
+         {"served_share", sum.asked ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0},
+         {"cpu_ms_per_s_each", (after.cpu - before.cpu) * 1000 / seconds / each},
+         {"cpu_ms_per_s_voter", (after.voters_cpu - before.voters_cpu) * 1000 / seconds / 3},
+         {"group_bytes_per_s_each", (after.bytes - before.bytes) / seconds / each},
+         {"rss_mb_most", rss},
+         {"plan", rig.status("n1", 2000) ? rig.status("n1", 2000)->value("plan", 0) : 0}});
+  }
+  return rows;
+}
+
 }  // namespace linenwinch::lab::faults
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -62,6 +62,20 @@
   return head + "\n" + rule + "\n" + body;
 }
 
+// Draws what the script says into `made` and gives it its name.
+static bool plot(const std::string& script, const std::string& made, const std::string& path) {
+  auto* pipe = popen("gnuplot >/dev/null 2>&1", "w");
+  if (!pipe) return false;
+  auto written = fwrite(script.data(), 1, script.size(), pipe);
+  bool good = pclose(pipe) == 0 && written == script.size() && std::filesystem::exists(made);
+  std::error_code none;
+  if (good)
+    std::filesystem::rename(made, path, none);
+  else
+    std::filesystem::remove(made, none);
+  return good && !none;
+}
+
 bool bar_chart(const std::string& path, const std::string& title, const std::string& unit,
                const std::vector<Series>& series) {
   if (series.empty() || series.front().bars.empty()) return false;
@@ -80,16 +94,25 @@
   }
   script +=
       fmt::format("EOD\nplot for [i=2:{}] $data using i:xtic(1) title columnheader(i)\n", series.size() + 1);
-  auto* pipe = popen("gnuplot >/dev/null 2>&1", "w");
-  if (!pipe) return false;
-  auto written = fwrite(script.data(), 1, script.size(), pipe);
-  bool good = pclose(pipe) == 0 && written == script.size() && std::filesystem::exists(made);
-  std::error_code none;
-  if (good)
-    std::filesystem::rename(made, path, none);
-  else
-    std::filesystem::remove(made, none);
-  return good && !none;
+  return plot(script, made, path);
+}
+
+bool line_chart(const std::string& path, const std::string& title, const std::string& x, const std::string& y,
+                const std::vector<Line>& lines) {
+  if (lines.empty()) return false;
+  auto made = path + ".new";
+  std::string script = fmt::format(
+      "set terminal svg size 900,420 dynamic background rgb 'white'\nset output '{}'\nset title '{}'\n"
+      "set xlabel '{}'\nset ylabel '{}'\nset yrange [0:*]\nset key outside right\nset grid\n",
+      made, title, x, y);
+  std::string plots;
+  for (std::size_t i = 0; i < lines.size(); ++i) {
+    script += fmt::format("$l{} << EOD\n", i);
+    for (auto& [at, value] : lines[i].points) script += fmt::format("{} {}\n", at, value);
+    script += "EOD\n";
+    plots += fmt::format("{} $l{} with lines lw 2 title \"{}\"", i ? "," : "plot", i, lines[i].title);
+  }
+  return plot(script + plots + "\n", made, path);
 }
 
 void write_whole(const std::string& path, const std::string& text) {
--- a/src/lab/report.h
+++ b/src/lab/report.h
@@ -33,6 +33,14 @@
 bool bar_chart(const std::string& path, const std::string& title, const std::string& unit,
                const std::vector<Series>& series);
 
+struct Line {
+  std::string title;
+  std::vector<std::pair<double, double>> points;
+};
+// The same with lines over one axis.
+bool line_chart(const std::string& path, const std::string& title, const std::string& x, const std::string& y,
+                const std::vector<Line>& lines);
+
 // Writes beside and renames, so that no half file is ever seen. Throws std::runtime_error.
 void write_whole(const std::string& path, const std::string& text);
 
--- a/src/lab/simulate/commands.cpp
+++ b/src/lab/simulate/commands.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/program_options.hpp>
 #include <charconv>
 #include <chrono>
@@ -181,7 +182,7 @@
 
 int run(const std::vector<std::string>& arguments) {
   po::options_description o;
-  o.add_options()("what", po::value<std::string>()->default_value(""), "group, model or zones")(
+  o.add_options()("what", po::value<std::string>()->default_value(""), "group, model, zones or plan-cost")(
       "seeds", po::value<std::string>()->default_value("1..200"),
       "group, zones: A..B, each a world of its own")(
       "mutant", po::value<std::string>()->default_value("none"), "one guard taken away, to see it found")(
@@ -203,7 +204,25 @@
   }
   auto what = given["what"].as<std::string>();
   if (given.count("help") || what.empty()) {
-    std::cout << "linenwinch_lab simulate group|model|zones [options]\n" << o;
+    std::cout << "linenwinch_lab simulate group|model|zones|plan-cost [options]\n" << o;
+    return 0;
+  }
+  if (what == "plan-cost") {
+    json rows = json::array();
+    for (auto [proxies, servers, sets, zones] :
+         {std::array{300, 120, 20, 3}, std::array{3000, 1200, 200, 6}, std::array{3000, 10000, 200, 12}}) {
+      auto c = plan_cost(proxies, servers, sets, zones);
+      rows.push_back({{"proxies", proxies},
+                      {"servers", servers},
+                      {"sets", sets},
+                      {"zones", zones},
+                      {"observation_bytes", c.observation_bytes},
+                      {"sum_bytes", c.sum_bytes},
+                      {"plan_bytes", c.plan_bytes},
+                      {"sum_us", c.sum_us},
+                      {"plan_us", c.plan_us}});
+    }
+    std::cout << rows.dump(1) << "\n";
     return 0;
   }
   if (what == "zones")
@@ -211,7 +230,7 @@
   auto mutant = mutant_named(given["mutant"].as<std::string>());
   if (what == "group") return group(range(given["seeds"].as<std::string>()), mutant);
   if (what == "model") return model(given, mutant);
-  throw std::runtime_error("simulate knows group, model and zones, not '" + what + "'");
+  throw std::runtime_error("simulate knows group, model, zones and plan-cost, not '" + what + "'");
 }
 
 }  // namespace linenwinch::lab::simulate
--- a/src/lab/simulate/placement.cpp
+++ b/src/lab/simulate/placement.cpp
@@ -3,11 +3,14 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <deque>
 #include <random>
 #include <set>
 
+#include "placement/wire.h"
+
 namespace linenwinch::lab::simulate {
 namespace {
 
@@ -418,6 +421,59 @@
   return all;
 }
 
+PlanCost plan_cost(int proxies, int servers, int sets, int zones) {
+  using Clock = std::chrono::steady_clock;
+  auto us = [](Clock::time_point from) {
+    return std::chrono::duration<double, std::micro>(Clock::now() - from).count();
+  };
+  PlanCost cost;
+  pl::Places places;
+  std::vector<Zone> names;
+  for (int z = 0; z < zones; ++z) {
+    names.push_back(fmt::format("zone-{}", z));
+    places.put(names.back(), z % 2 ? "south" : "north");
+  }
+  std::vector<pl::Observation> all(static_cast<std::size_t>(proxies));
+  for (int i = 0; i < proxies; ++i) {
+    auto& o = all[static_cast<std::size_t>(i)];
+    auto& from = names[static_cast<std::size_t>(i % zones)];
+    for (auto& to : names) {
+      pl::Seen s;
+      s.attempts = 40, s.latency_us = 123456, s.room = 77.5;
+      o.saw(from, 0, to, s);
+      o.vote(from, to, true);
+    }
+    for (int set = 1; set <= sets; ++set) o.asked(from, set, 5), o.leads(set, names[0]);
+    o.follows(7);
+  }
+  std::string text;
+  nlohmann::json::to_cbor(pl::to_json(all[0]), text);
+  cost.observation_bytes = text.size();
+  auto at = Clock::now();
+  pl::Input input;
+  for (auto& o : all) input.seen.add(o);
+  cost.sum_us = us(at);
+  text.clear();
+  nlohmann::json::to_cbor(pl::to_json(input.seen), text);
+  cost.sum_bytes = text.size();
+  input.now = 1'000'000;
+  input.seconds = 0.5;
+  pl::Demand demand;
+  demand.heed(input.seen, 0.5);
+  input.asked = demand.rates();
+  double each = 300.0 * servers / sets / zones;
+  for (auto& zone : names)
+    for (int set = 1; set <= sets; ++set) input.supply[{set, zone}] = {each, false};
+  pl::Planner planner(places);
+  auto plan = planner.next({}, input);
+  constexpr int kRounds = 20;
+  at = Clock::now();
+  for (int i = 0; i < kRounds; ++i) plan = planner.next(plan, input);
+  cost.plan_us = us(at) / kRounds;
+  cost.plan_bytes = pl::to_json(plan).dump().size();
+  return cost;
+}
+
 PlacementResult run_placement(std::uint64_t seed, PlanMutant mutant) { return World(seed, mutant).run(); }
 
 }  // namespace linenwinch::lab::simulate
--- a/src/lab/simulate/placement.h
+++ b/src/lab/simulate/placement.h
@@ -23,6 +23,14 @@
   std::uint64_t moved_ms_most = 0;  // from a zone's loss to the plan that sends nobody there
 };
 
+// What planning costs, modelled: so many proxies, servers, sets and zones, all observations made up and at
+// hand.
+struct PlanCost {
+  std::size_t observation_bytes = 0, sum_bytes = 0, plan_bytes = 0;  // as sent; a plan as published
+  double sum_us = 0, plan_us = 0;  // adding all observations once; one plan from their sum
+};
+PlanCost plan_cost(int proxies, int servers, int sets, int zones);
+
 PlacementResult run_placement(std::uint64_t seed, PlanMutant mutant);
 
 }  // namespace linenwinch::lab::simulate
