Group: where nobody owns the list, a voter asks for all and hands it on

Without an owner each proxy asked the list service by itself, spread over 3 s: hundreds of calls and watches just when the service is weak. A voter now watches it and hands copies to the other voters and all followers, with origin and time; a pure module decides which list is in force.

Process tests: 13 processes start at once without a majority, at most one whole list is asked for, a drain among the load breaks no rule; the lost majority's proxy hears of the list by the voter that is left. The test of recovery counts that every lost owner's token rises.

--- a/src/app/group_runner.cpp
+++ b/src/app/group_runner.cpp
@@ -147,11 +147,11 @@
     auto own = plan ? for_zone(*plan, zone) : badgercourse::Plan{};
     mailbox_.post([this, own = std::move(own)] { proxy_.dispatcher().plan(own); });
   };
-  hooks.list = [this](discovery::MemberUpdate update) {
-    mailbox_.post([this, update = std::move(update)] {
+  hooks.list = [this](discovery::MemberUpdate update, bool anew) {
+    mailbox_.post([this, anew, update = std::move(update)] {
       if (eyes_) eyes_->list(update);
       proxy_.dispatcher().await_facts(true);
-      proxy_.given(update);
+      proxy_.given(update, anew);
     });
   };
   hooks.facts = [this](std::vector<group::Fact> facts) {
@@ -159,10 +159,10 @@
       for (auto& f : facts) proxy_.dispatcher().fact({f.server, true, f.taken, f.load}, f.age);
     });
   };
-  hooks.alone = [this](bool alone) {
-    mailbox_.post([this, alone] {
+  hooks.alone = [this](bool alone, bool ask) {
+    mailbox_.post([this, alone, ask] {
       proxy_.dispatcher().await_facts(!alone);
-      proxy_.watch_discovery(alone);
+      proxy_.watch_discovery(alone && ask);
     });
   };
   hooks.prober = [limits = of.pool, log](net::Loop& group_loop, group::Probed probed) {
--- a/src/group/node.cpp
+++ b/src/group/node.cpp
@@ -39,9 +39,6 @@
 // A primary's data is never old; it is asked only whether it still is one.
 constexpr Micros kPrimaryEvery = 1s;
 constexpr std::size_t kMostSets = 4096;
-// The list service lets a call wait for 5 s and is given 1 s more: an owner that heard nothing in 7 does not
-// know the list any more.
-constexpr Micros kListKnown = 7s;
 // Work of one step of consensus may call for another; more rounds in one turn would be a fault.
 constexpr int kMostRounds = 64;
 constexpr std::size_t kMostProposals = 4096, kMostDownstream = 4096;
@@ -146,7 +143,8 @@
       }()),
       steward_(lease_),
       holder_(options_.name, lease_),
-      known_(std::move(known)) {
+      known_(std::move(known)),
+      lists_(options_.installation) {
   for (unsigned char c : options_.name) random_ = (random_ ^ c) * 1099511628211ull;
   check(options_);
   if (options_.voter() && options_.placement)
@@ -326,6 +324,7 @@
     if (discovery != discovery_) {
       discovery_ = discovery;
       watch_.reset();  // work() opens the next
+      if (orphan_watch_) ask_for_all(true);
       list_whole_ = false;
     }
     auto next = options_;
@@ -510,6 +509,8 @@
     deliver(m);
   } else if (t == "facts") {
     facts(m, &link);
+  } else if (t == "copy" || t == "copy-stands" || t == "copy-please") {
+    copied(link, m);
   } else if (t == "seen" || t == "sum") {
     seen(link, m);
   } else if (t == "placement") {
@@ -1020,12 +1021,13 @@
   try {
     auto update = discovery::parse_members(job->data);
     update.reset = true;
-    known_ = update;
-    known_published_ = true;
+    auto last = lists_.any() ? lists_.list().generation : INT64_MIN;
+    if (!lists_.offer(coldstart::Origin::kGroup, options_.installation, std::move(update), 0)) {
+      known_published_ = lists_.origin() == coldstart::Origin::kGroup;
+      return;
+    }
     list_heard_ = std::max(list_heard_, net::monotonic_now());
-    if (prober_) prober_->servers(known_);
-    primary_asked_.clear();
-    hooks_.list(std::move(update));
+    in_force(lists_.list().generation < last);
   } catch (const std::invalid_argument& e) {
     say(Level::kError, fmt::format("the published list cannot be read: {}", e.what()));
   }
@@ -1163,16 +1165,21 @@
   }
   looked_at_ = now;
   watch_plan();
+  copy_stands();
   bool alone = now - list_heard_ > alone_after_;
   if (alone == alone_) return;
   alone_ = alone;
+  bool for_all = raft_ != nullptr;
   say(alone ? Level::kWarning : Level::kInfo,
-      alone ? "nothing is heard of the list: this proxy asks by itself" : "the list is heard of again");
+      !alone    ? "the list is heard of again"
+      : for_all ? "nothing is heard of the list's owner: this voter asks the list service for all"
+                : "nothing is heard of the list: this proxy asks by itself");
   if (alone)
     alone_after_ =
         options_.fallback +
         Micros(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(options_.spread.count())));
-  hooks_.alone(alone);
+  if (for_all) ask_for_all(alone);
+  hooks_.alone(alone, !for_all);
 }
 
 // ---- operating it ----------------------------------------------------------------------------------------
@@ -1186,6 +1193,7 @@
             {"applied", applied_},
             {"alone", alone_},
             {"list_generation", known_published_ ? known_.generation : -1},
+            {"list_from", coldstart::text_of(lists_.origin())},
             {"stale_effects", stale_effects_ + ledger_.stale()},
             {"whole_lists", whole_lists_},
             {"plan", following_.load()},
--- a/src/group/node.h
+++ b/src/group/node.h
@@ -17,6 +17,7 @@
 #include <thread>
 #include <vector>
 
+#include "coldstart/lists.h"
 #include "consensus/raft.h"
 #include "discovery/members.h"
 #include "discovery/pace.h"
@@ -52,10 +53,12 @@
 };
 using Probed = std::function<void(const std::string& server, bool ok, Micros taken, const std::string& load)>;
 
-struct Hooks {                                        // all called in the group's thread
-  std::function<void(discovery::MemberUpdate)> list;  // whole, as published
+struct Hooks {  // all called in the group's thread
+  // Whole, as it is in force from now on. `anew`: though its count is lower than that of the last one.
+  std::function<void(discovery::MemberUpdate, bool anew)> list;
   std::function<void(std::vector<Fact>)> facts;
-  std::function<void(bool)> alone;  // true: nothing is heard of the list, ask by yourself
+  // `alone`: nothing is heard of an owner of the list. `ask`: ask by yourself; else this node asks for all.
+  std::function<void(bool alone, bool ask)> alone;
   std::function<void(std::optional<placement::Plan>)> plan;  // the one to follow from now on; none: alone
   std::function<std::unique_ptr<Prober>(net::Loop&, Probed)> prober;
 };
@@ -150,6 +153,12 @@
   void facts(const json& message, peers::Link* from);
   void want_set(std::int64_t set, peers::Link* from);
   void published_list();
+  void in_force(bool anew);
+  void ask_for_all(bool on);
+  void heard_alone(const discovery::MemberUpdate& update);
+  void hand_on(peers::Link* to);
+  void copy_stands();
+  void copied(peers::Link& link, const json& message);
   void watch_alone();
   void seen(peers::Link& link, const json& message);
   void place();
@@ -234,6 +243,10 @@
   // what is in force for this process
   discovery::MemberUpdate known_;
   bool known_published_ = false;
+  coldstart::Lists lists_;
+  std::unique_ptr<discovery::Watch> orphan_watch_;            // of a voter that asks for all
+  std::map<std::string, discovery::MemberInfo> orphan_list_;  // as it hears it
+  Micros orphan_heard_{0};
   Micros list_heard_{0}, alone_after_{0}, looked_at_{0};
   bool alone_ = false;
 
--- a/src/group/options.h
+++ b/src/group/options.h
@@ -19,6 +19,9 @@
 
 // Proxies tell what they saw so often, voters sum it up, and the owner plans.
 constexpr Micros kObserveEvery{500'000};
+// The list service lets a call wait for 5 s and is given 1 s more: who heard nothing in 7 does not know the
+// list any more.
+constexpr Micros kListKnown{7'000'000};
 constexpr std::size_t kMostPlaced = 4096;  // proxies below one voter
 
 struct PlacementOptions {
--- a/src/lab/daemon.cpp
+++ b/src/lab/daemon.cpp
@@ -122,6 +122,10 @@
     execv(options.program.c_str(), const_cast<char**>(arguments.data()));
     _exit(127);
   }
+  if (!options.waits) {
+    port_ = options.port;
+    return;
+  }
   for (auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);;
        std::this_thread::sleep_for(std::chrono::milliseconds(5))) {
     auto text = log();
@@ -150,6 +154,8 @@
   fs::rename(path.string() + ".new", path);
 }
 
+bool Daemon::ready() { return log().find("ready to serve") != std::string::npos; }
+
 bool Daemon::running() {
   if (pid_ <= 0) return false;
   int status = 0;
--- a/src/lab/daemon.h
+++ b/src/lab/daemon.h
@@ -23,6 +23,7 @@
   int port = 0;                  // for clients; 0: one that is free
   std::string name = "lab";
   std::size_t memory_mb = 2048;
+  bool waits = true;             // until it is ready; else the caller asks ready()
   std::uint64_t file_limit = 0;  // bytes that a file may have (RLIMIT_FSIZE); 0: any
   std::vector<std::pair<std::string, std::string>> environment;
 };
@@ -47,6 +48,7 @@
   int wait();  // for its end; its exit code, or 128 and the signal
   std::string log() const;
   bool running();  // it has not ended by itself
+  bool ready();    // it has said so in its log
   void write_operator_file(const nlohmann::json& content);
 
   struct Usage {
--- a/src/lab/faults/commands.cpp
+++ b/src/lab/faults/commands.cpp
@@ -103,6 +103,22 @@
                {"cpu_ms_per_s_voter", "CPU ms/s a voter", 2},
                {"group_bytes_per_s_each", "bytes/s each"},
                {"rss_mb_most", "MB, most", 1}};
+  else if (name == "coldstart")
+    columns = {{"mode", "mode"},
+               {"list", "list service"},
+               {"seed", "seed"},
+               {"processes", "processes"},
+               {"whole_list_calls", "whole lists"},
+               {"list_calls_peak_per_s", "calls/s, peak"},
+               {"list_refused", "503"},
+               {"handshakes_peak_per_server_per_100ms", "handshakes/server/100 ms, peak"},
+               {"probes_per_server_first_5s", "probes/server, 5 s", 1},
+               {"cold_falls", "cold falls"},
+               {"time_to_first_served_ms_p50", "first served p50 ms"},
+               {"time_to_first_served_ms_p99", "p99 ms"},
+               {"time_to_99_percent_service_s", "99 % served after s", 1},
+               {"served_share_first_30s", "served, 30 s", 4},
+               {"rule_breaches", "breaches"}};
   else
     columns = {{"processes", "processes"},
                {"entries", "entries"},
@@ -174,6 +190,7 @@
       "savings: replicas so far behind that do not check the age themselves")(
       "script", po::value<std::string>(),
       "group, owner: the faults of this file (JSON), in place of drawn ones")(
+      "before", po::value<std::string>(), "coldstart: the daemon of an earlier commit, to compare")(
       "fault", po::value<std::string>()->default_value(""), "zones: this fault alone")(
       "json", po::value<std::string>(), "write the rows to this file")(
       "folder", po::value<std::string>(), "write JSON, table and chart into this folder")(
@@ -203,9 +220,10 @@
     return verdict.broken() ? 2 : 0;
   }
   if (name != "group" && name != "owner" && name != "savings" && name != "return" && name != "zones" &&
-      name != "zones-cost")
+      name != "zones-cost" && name != "coldstart")
     throw std::runtime_error(fmt::format(
-        "faults knows group, owner, savings, return, zones, zones-cost and check, not '{}'", name));
+        "faults knows group, owner, savings, return, zones, zones-cost, coldstart and check, not '{}'",
+        name));
   Script script;
   if (given.count("script")) {
     if (name != "group" && name != "owner") throw std::runtime_error("--script goes with group and owner");
@@ -241,7 +259,10 @@
     options.script = script;
     if (given.count("quick") && given["faults"].defaulted()) options.faults = 5;
     options.only = given["fault"].as<std::string>();
-    if (name == "savings" || name == "zones" || name == "zones-cost") {
+    if (given.count("before")) options.before = given["before"].as<std::string>();
+    if (name == "coldstart") {
+      for (auto& row : run_coldstart(options)) rows.push_back(row);
+    } else if (name == "savings" || name == "zones" || name == "zones-cost") {
       for (auto& row : name == "zones"        ? run_zones(options)
                        : name == "zones-cost" ? run_zones_cost(options)
                                               : run_savings(options))
--- a/src/lab/faults/experiments.h
+++ b/src/lab/faults/experiments.h
@@ -19,6 +19,7 @@
   double rate = 10;     // savings: requests a second at each proxy
   int lag_ms = 0;       // savings: of replicas that do not check the age themselves; 0: they check
   std::string history;  // write it to this file; empty: not
+  std::string before;   // coldstart: the program of an earlier commit
   std::string only;     // zones: this fault alone; empty: all
   Script script;        // group, owner: these faults, in place of drawn ones; empty: drawn
 };
@@ -38,6 +39,11 @@
 // each.
 nlohmann::json run_zones_cost(const ExperimentOptions& options);
 
+// Everything was off and starts at once: hundreds of proxies that know nothing, a weak list service, data
+// servers that are cold. A row each for the program of before (`before`: its path; empty: not played), for
+// each proxy by itself, and for the group.
+nlohmann::json run_coldstart(const ExperimentOptions& options);
+
 // All followers come back at once, and a voter that is `entries` behind.
 nlohmann::json run_return(const ExperimentOptions& options);
 
--- a/src/lab/faults/rig.cpp
+++ b/src/lab/faults/rig.cpp
@@ -101,6 +101,7 @@
   history_.add("rig",
                {{"voters", options_.voters}, {"followers", options_.followers}, {"seed", options_.seed}});
   heal();
+  if (!options_.start) return;
   for (auto& name : names) start(name);
   if (!options_.grouped || !options_.initialise) return;
   json ids = json::array();
@@ -146,6 +147,20 @@
   p.daemon = std::make_unique<Daemon>(p.options);
 }
 
+void Rig::launch(const std::vector<std::string>& names, const json& known) {
+  for (auto& name : names) {
+    auto& p = processes_.at(name);
+    if (p.daemon) p.earlier_log += p.daemon->log();
+    p.daemon.reset();
+    p.paused = false;
+    auto options = p.options;
+    options.waits = false;
+    options.known = known;
+    history_.add("launch", {{"node", name}});
+    p.daemon = std::make_unique<Daemon>(options);
+  }
+}
+
 void Rig::kill(const std::string& name) {
   auto& p = processes_.at(name);
   history_.add("kill", {{"node", name}});
--- a/src/lab/faults/rig.h
+++ b/src/lab/faults/rig.h
@@ -28,6 +28,7 @@
   std::string program, folder;
   int voters = 3, followers = 0;
   bool grouped = true;          // false: each proxy for itself, as without the section
+  bool start = true;            // all processes, when the rig is made
   bool initialise = true;       // the group begins, and a leader is there when the rig is ready
   json group = json::object();  // merged over the section of each process
   StandInOptions stand_in;
@@ -62,6 +63,8 @@
 
   // Processes.
   void start(const std::string& name);  // waits until it is ready
+  // All of these at the same moment, without waiting for any; `known`: the list that each has at its start.
+  void launch(const std::vector<std::string>& names, const json& known);
   void kill(const std::string& name);
   void pause(const std::string& name);   // SIGSTOP
   void resume(const std::string& name);  // SIGCONT
--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -428,8 +428,18 @@
       if (after ? e.generation > *after : e.body.at("lifecycle") != "removed") instances.push_back(e.body);
     return {{"generation", generation_}, {"reset", !after}, {"instances", std::move(instances)}};
   }
-  bool mute = false;                   // it takes calls and answers none
-  std::uint64_t calls = 0, whole = 0;  // that came; of them for the whole list
+  bool mute = false;                                // it takes calls and answers none
+  std::uint64_t calls = 0, whole = 0, refused = 0;  // that came; of them for the whole list; told 503
+  std::map<std::int64_t, std::uint64_t> by_second;
+
+  // When a call that comes now is through, each being work; nullopt: too many wait.
+  std::optional<Micros> admit() {
+    auto now = loop().now(), cost = lab_.options_.list_cost;
+    if (cost.count() <= 0) return now;
+    auto waiting = busy_until_ > now ? (busy_until_ - now) / cost : 0;
+    if (lab_.options_.list_cap > 0 && waiting >= lab_.options_.list_cap) return std::nullopt;
+    return busy_until_ = std::max(now, busy_until_) + cost;
+  }
 
  private:
   struct Entry {
@@ -451,9 +461,18 @@
         in_.consume(head + 4);
         waiting_ = true;
         ++owner_.calls;
+        ++owner_.by_second[owner_.loop().now() / Micros(1'000'000)];
         owner_.whole += !after_;
         owner_.loop().cancel(&timer_);
-        if (!after_ || owner_.generation_ > *after_ || wait <= 0)
+        auto through = owner_.admit();
+        if (!through) {
+          ++owner_.refused;
+          waiting_ = false;
+          if (!out_.write(fd_.get(), {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}))
+            end();
+        } else if (*through > owner_.loop().now()) {
+          timer_ = owner_.loop().at(*through, [this] { reply(); });
+        } else if (!after_ || owner_.generation_ > *after_ || wait <= 0)
           reply();
         else
           timer_ = owner_.loop().at(owner_.loop().now() + std::min(Micros(wait * 1000), kLongestWatch),
@@ -526,6 +545,7 @@
   OnAccept on_accept_;
   net::Fd listener_;
   std::int64_t generation_ = 1;
+  Micros busy_until_{0};
   std::vector<Entry> entries_;
   std::vector<std::unique_ptr<Caller>> callers_, closed_;
 };
@@ -798,6 +818,12 @@
   return all;
 }
 
+std::map<std::int64_t, std::uint64_t> StandIn::list_calls_by_second() {
+  std::map<std::int64_t, std::uint64_t> all;
+  discovery_->call([&] { all = discovery_->by_second; });
+  return all;
+}
+
 json StandIn::members() {
   json list;
   discovery_->call([&] { list = discovery_->list(std::nullopt); });
@@ -814,13 +840,12 @@
                    {"opened", f.opened},           {"falls", f.falls}};
   for (auto& b : rules_.breaches())
     breaches.push_back({{"rule", name_of(b.rule)}, {"count", b.count}, {"first", b.first}});
-  std::uint64_t calls = 0, whole = 0;
-  discovery_->call([&] { calls = discovery_->calls, whole = discovery_->whole; });
-  return {{"servers", servers},
-          {"breaches", breaches},
-          {"drain_last_send_ms", rules_.drain_last_send_ms()},
-          {"list_calls", calls},
-          {"whole_list_calls", whole}};
+  std::uint64_t calls = 0, whole = 0, refused = 0;
+  discovery_->call(
+      [&] { calls = discovery_->calls, whole = discovery_->whole, refused = discovery_->refused; });
+  return {
+      {"servers", servers},  {"breaches", breaches},      {"drain_last_send_ms", rules_.drain_last_send_ms()},
+      {"list_calls", calls}, {"whole_list_calls", whole}, {"list_refused", refused}};
 }
 
 }  // namespace linenwinch::lab
--- a/src/lab/stand_in.h
+++ b/src/lab/stand_in.h
@@ -33,6 +33,9 @@
   int discovery_port = 0, steer_port = 0;  // 0: the system picks one
   std::uint64_t seed = 1;
   ModelOptions model;
+  // The list service: what a call costs it, one after another, and how many may wait; more are told 503.
+  Micros list_cost{0};
+  int list_cap = 0;  // 0: any number
   std::vector<Step> script;
   // Where the list says that a server of this zone and port is to be reached; empty: where it is.
   std::function<std::string(const std::string& zone, int port)> front;
@@ -65,6 +68,8 @@
   nlohmann::json report();
   nlohmann::json members();  // the list as discovery gives it
   std::vector<double> thread_cpu_seconds();
+  // Whole lists and calls that came to the list service, by second of the monotonic clock.
+  std::map<std::int64_t, std::uint64_t> list_calls_by_second();
 
  private:
   class Discovery;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -61,8 +61,8 @@
   if (running_) discovery_->start();
 }
 
-void Proxy::given(discovery::MemberUpdate update) {
-  if (update.generation < generation_) return;
+void Proxy::given(discovery::MemberUpdate update, bool anew) {
+  if (update.generation < generation_ && !anew) return;
   generation_ = update.generation;
   dispatcher_.list(std::move(update));
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -44,8 +44,9 @@
   int port() const;
   // Asks discovery itself, or no longer: for one whose lists are given to it.
   void watch_discovery(bool on);
-  // For one that does not watch, in its own thread. A list that is older than what is known changes nothing.
-  void given(discovery::MemberUpdate update);
+  // For one that does not watch, in its own thread. A list that is older than what is known changes nothing,
+  // unless the service was reset and counts `anew`.
+  void given(discovery::MemberUpdate update, bool anew = false);
   // For one of several, all in its own thread.
   void list(discovery::MemberUpdate update, bool cached) { dispatcher_.list(std::move(update), cached); }
   void adopt(net::Fd client);
--- a/tests/fleet/parts_test.cpp
+++ b/tests/fleet/parts_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <mutex>
 
+#include "coldstart/lists.h"
 #include "group/options.h"
 #include "lab/faults/history.h"
 #include "lab/faults/script.h"
@@ -396,5 +397,36 @@
   bad(R"([[{"do": "wait", "ms": 6000000}]])", "more than 600000 ms");
 }
 
+TEST(Lists, AnOlderOneNeverReplacesANewerButTheGroupsOrderDoes) {
+  using coldstart::Lists, coldstart::Origin;
+  auto list = [](std::int64_t generation, discovery::Lifecycle first = discovery::Lifecycle::kUp) {
+    discovery::MemberUpdate u;
+    u.generation = generation;
+    discovery::MemberInfo m;
+    m.id = "s1";
+    m.lifecycle = first;
+    u.members = {m};
+    return u;
+  };
+  Lists l("lab");
+  EXPECT_FALSE(l.offer(Origin::kNeighbour, "elsewhere", list(9), 100));
+  EXPECT_FALSE(l.any());
+  EXPECT_TRUE(l.offer(Origin::kOwnCopy, "lab", list(3), 0));
+  EXPECT_TRUE(l.offer(Origin::kService, "lab", list(7, discovery::Lifecycle::kDraining), 500));
+  // A neighbour's copy is a week old: the drain stands.
+  EXPECT_FALSE(l.offer(Origin::kNeighbour, "lab", list(5), 100));
+  EXPECT_EQ(l.list().members[0].lifecycle, discovery::Lifecycle::kDraining);
+  EXPECT_EQ(l.turned_down(), 2u);
+  EXPECT_FALSE(l.offer(Origin::kGroup, "lab", list(5), 0));  // the group has not caught up yet
+  // The same once more: only younger, and known from the better source.
+  EXPECT_FALSE(l.offer(Origin::kGroup, "lab", list(7, discovery::Lifecycle::kDraining), 900));
+  EXPECT_EQ(l.said_ms(), 900);
+  EXPECT_EQ(l.origin(), Origin::kGroup);
+  // The service was reset; the owner published what it says now.
+  EXPECT_TRUE(l.offer(Origin::kGroup, "lab", list(1), 0));
+  EXPECT_EQ(l.list().generation, 1);
+  EXPECT_TRUE(l.list().reset);
+}
+
 }  // namespace
 }  // namespace linenwinch
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -264,7 +264,9 @@
   // Its own clock ends what it holds.
   CHECK(f->soon([&] { return !f.holds(one, "list") && !f.holds(one, "probe 1"); }));
   CHECK(f->soon([&] { return f->status(one) && f->status(one)->value("role", "") != "leader"; }));
-  CHECK(f->soon([&] { return f->log("p1").find("asks by itself") != std::string::npos; }));
+  // It asks the list service for itself and for the proxy below it.
+  CHECK(f->soon([&] { return f->log(one).find("asks the list service for all") != std::string::npos; }));
+  CHECK(f->soon([&] { return f->stand_in().report().at("list_calls").get<int>() > 0; }));
   auto granted = times(f->log(one), "is granted to");
   LoadOptions load;
   load.target = *net::parse_address("127.0.0.1:" + std::to_string(f->port("p1")));
@@ -275,13 +277,16 @@
   // A drain reaches it, though there is no owner.
   f->stand_in().steer({{"do", "drain"}, {"server", "s1-3"}});
   auto figures = run_load(load);
+  // Where it had to look for a voter that lives, it may have begun to ask itself, and has stopped.
+  CHECK(f->soon(
+      [&] { return times(f->log("p1"), "asks by itself") == times(f->log("p1"), "heard of again"); }));
   CHECK(figures.served > 20);
   CHECK(figures.served == figures.asked);
   CHECK(times(f->log(one), "is granted to") == granted);
   for (auto& name : f->voters())
     if (name != one) f->start(name);
   CHECK(f.owned("list"));
-  CHECK(f->soon([&] { return f->log("p1").find("heard of again") != std::string::npos; }));
+  CHECK(f->soon([&] { return f->log(one).find("heard of again") != std::string::npos; }));
   CHECK(f->stand_in().rules().total() == 0);
 }
 
@@ -643,6 +648,61 @@
   CHECK(f.get("k") == "kept");
 }
 
+TEST_CASE(
+    "group: all start at once and know nothing, without a majority: one voter asks the list service for "
+    "all") {
+  Fleet f(3, 12, [](RigOptions& o) { o.group = {{"fallback_ms", 1500}}; });
+  for (auto& name : f->all()) f->kill(name);
+  auto before = f->stand_in().report();
+  // The list that the group had published lies on the voters' disks; the proxies have none.
+  std::vector<std::string> back = f->followers();
+  back.push_back("n1");
+  f->launch(back, {{"generation", 0}, {"reset", true}, {"instances", json::array()}});
+  CHECK(f->soon(
+      [&] {
+        return std::all_of(back.begin(), back.end(), [&](auto& name) { return f->daemon(name)->ready(); });
+      },
+      Micros(40'000'000)));
+  auto grown = [&](const char* key) {
+    return f->stand_in().report().at(key).get<std::uint64_t>() - before.at(key).get<std::uint64_t>();
+  };
+  CHECK(f->soon([&] { return f->log("n1").find("asks the list service for all") != std::string::npos; }));
+  CHECK(f->soon([&] {
+    std::size_t asking = 0;
+    for (auto& name : f->followers())
+      asking += times(f->log(name), "asks by itself") - times(f->log(name), "heard of again");
+    return asking == 0;
+  }));
+  CHECK(grown("whole_list_calls") <= 1);
+  // Word of a drain comes by the same way.
+  std::atomic<bool> stop{false};
+  std::vector<std::thread> loads;
+  for (auto& name : f->followers())
+    loads.emplace_back([&, port = f->port(name), name] {
+      for (int i = 0; !stop; ++i) {
+        LoadOptions l;
+        l.target = *net::parse_address("127.0.0.1:" + std::to_string(port));
+        l.connections = 2;
+        l.rate = 20;
+        l.length = 500ms;
+        l.prefix = name + "-" + std::to_string(i) + "-";
+        l.rules = &f->stand_in().rules();
+        run_load(l);
+      }
+    });
+  f->stand_in().steer({{"do", "drain"}, {"server", "s1-2"}});
+  auto word = net::monotonic_now();
+  f->soon([&] { return net::monotonic_now() - word > 1500ms; });
+  stop = true;
+  for (auto& t : loads) t.join();
+  CHECK(f->stand_in().rules().total() == 0);
+  // The others come back, and the group goes on from where it was.
+  f->start("n2");
+  f->start("n3");
+  CHECK(f.owned("list"));
+  CHECK(f->soon([&] { return f->log("n1").find("heard of again") != std::string::npos; }));
+}
+
 TEST_CASE("group: an owner that holds the lease but does no work is relieved") {
   // The list service is out of reach of one process only: its owner hears nothing of it.
   Fleet f(3, 0, [](RigOptions& o) { o.group = {{"lease_ms", 1300}}; });
@@ -719,14 +779,18 @@
   }));
   CHECK(f->soon([&] { return f->status(one)->value("role", "") == "leader"; }));
   CHECK(f->ask(one, {{"do", "get"}, {"key", "k"}}).value("value", "") == "kept");
+  // Whatever the lost ones owned is granted by tokens above all of theirs.
+  std::size_t lost = 0;
+  for (auto& before : tokens) lost += before.at("owner") != one && before.at("owner") != "";
+  CHECK(lost > 0);
   CHECK(f->soon([&] {
+    std::size_t risen = 0;
     auto now = f->ask(one, {{"do", "owners"}}).at("owners");
     for (auto& o : now)
       for (auto& before : tokens)
-        if (o.at("job") == before.at("job") && before.at("owner") != one &&
-            o.at("token") <= before.at("token"))
-          return false;
-    return true;
+        risen += o.at("job") == before.at("job") && before.at("owner") != one && before.at("owner") != "" &&
+                 o.at("token").get<std::uint64_t>() > before.at("token").get<std::uint64_t>();
+    return risen == lost;
   }));
 }
 
