--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <unordered_map>
 
+#include "lab/daemon.h"
 #include "lab/thread.h"
 #include "net/buffer.h"
 #include "net/socket.h"
@@ -470,13 +471,18 @@
           waiting_ = false;
           if (!out_.write(fd_.get(), {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}))
             end();
-        } else if (*through > owner_.loop().now()) {
-          timer_ = owner_.loop().at(*through, [this] { reply(); });
-        } else if (!after_ || owner_.generation_ > *after_ || wait <= 0)
-          reply();
-        else
-          timer_ = owner_.loop().at(owner_.loop().now() + std::min(Micros(wait * 1000), kLongestWatch),
-                                    [this] { reply(); });
+        } else {
+          // What the call costs first; then it waits for something new, as long as the caller would.
+          auto wait_for = std::min(Micros(wait * 1000), kLongestWatch);
+          auto look = [this, wait_for] {
+            if (!after_ || owner_.generation_ > *after_ || wait_for.count() <= 0) return reply();
+            timer_ = owner_.loop().at(owner_.loop().now() + wait_for, [this] { reply(); });
+          };
+          if (*through > owner_.loop().now())
+            timer_ = owner_.loop().at(*through, look);
+          else
+            look();
+        }
       }
       if (closed) end();
     }
@@ -657,7 +663,7 @@
   in(p, [&] {
     p.server = new DataServer(*this, *p.thread, id, set, seed, primary);
     if (cold) p.server->model.restart(p.thread->loop().now());
-    p.server->listen(0);
+    p.server->listen(free_port());  // it may come back to it, and nobody may have taken it meanwhile
     port = p.server->port;
   });
   places_[id] = p;
