--- a/src/lab/faults/zones.cpp
+++ b/src/lab/faults/zones.cpp
@@ -56,7 +56,7 @@
          steer_zone(r, "fail", "b", {{"share", 0}});
        }},
       {"cut", [](Rig& r) { r.isolate_zone("b"); }, [](Rig& r) { r.heal(); }},
-      {"dies, double load", [](Rig& r) { steer_zone(r, "kill", "b"); },
+      {"dies, half as much load again", [](Rig& r) { steer_zone(r, "kill", "b"); },
        [](Rig& r) { steer_zone(r, "start", "b"); }, 1.5}};
   return all;
 }
