Plan of zones: one that serves its own clients is cut off, not ill

Under the thread sanitizer, on a machine so busy that all connections between zones timed out, all three zones were closed: each was seen ill by two others, and the last one counted as dead since its own proxies were refused and so saw nothing. Where those who stand in a zone are served well by it only the ways there are closed now; it goes on serving its own.

--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -111,6 +111,8 @@
 // Who sees whom: a zone is ill where most zones of observers find it so; where only one does, the way there
 // is.
 Planner::Agreed Planner::zone_health(const Zone& zone, const Input& input) const {
+  // Where those who stand in it are served well by it, only the ways there fail.
+  if (!options_.flaw_one_voice && link_health(zone, zone, input) == Agreed::kWell) return Agreed::kWell;
   int ill = 0, well = 0, voices = 0;
   for (auto& [key, votes] : input.seen.votes()) {
     if (key.second != zone) continue;
