--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -100,7 +100,7 @@
   auto all = v.all();
   if (all < (options_.flaw_one_voice ? 1 : options_.least_voices)) return Agreed::kNothing;
   // One that is late and does what it can bear has too much to do: closing it would help nobody.
-  auto ill = v.ill + (works(to, input) ? 0 : v.late);
+  auto ill = v.ill + (works(to, input) || !finds_any_well(from, input) ? 0 : v.late);
   if (static_cast<double>(ill) >= options_.ill * static_cast<double>(all)) return Agreed::kIll;
   // One that sees all as dead keeps nothing closed either.
   if (ill == 1 && v.late <= 1 && all >= 3) return Agreed::kWell;
@@ -132,6 +132,15 @@
   return voices > 0 && well * 2 > voices ? Agreed::kWell : Agreed::kNothing;
 }
 
+// Those to whom all zones are late are slow themselves.
+bool Planner::finds_any_well(const Zone& from, const Input& input) const {
+  return std::any_of(input.seen.votes().begin(), input.seen.votes().end(), [&](auto& entry) {
+    auto& v = entry.second;
+    return entry.first.first == from && v.all() > 0 &&
+           static_cast<double>(v.well) >= options_.well * static_cast<double>(v.all());
+  });
+}
+
 // It answers half of what it bears, or more: what is late there is late for its load.
 bool Planner::works(const Zone& zone, const Input& input) const {
   double served = 0, bears = 0;
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -127,6 +127,7 @@
   bool spend(Plan* plan, const Zone& zone, Millis now, int ahead = 0) const;
   bool dead(const Zone& zone, const Input& input) const;
   bool works(const Zone& zone, const Input& input) const;
+  bool finds_any_well(const Zone& from, const Input& input) const;
   void heed(ZoneState* state, Agreed agreed, Millis now) const;
   void share_out(Plan* plan, const Plan& last, const Input& input) const;
   void spread_spare(Plan* plan, const Plan& last, SetId set, const std::map<Zone, double>& clients,
--- a/tests/fleet/placement_test.cpp
+++ b/tests/fleet/placement_test.cpp
@@ -229,6 +229,18 @@
   EXPECT_TRUE(other.blind(7).empty());
 }
 
+TEST(Plan, WhereAllAreLateNobodyIsClosed) {
+  Planner planner(three());
+  auto in = calm(300, 1000);
+  in.seen = in.seen.demand_only();
+  // The proxies' own machines stand still now and then; a little is asked for, and answered late everywhere.
+  for (Zone from : {"a", "b", "c"})
+    for (Zone to : {"a", "b", "c"}) in.seen.voted(from, to, {0, 0, 4});
+  auto plan = settle(planner, {}, in, 20'000);
+  for (Zone zone : {"a", "b", "c"}) EXPECT_EQ(plan.zones.at(zone).phase, Phase::kOpen) << zone;
+  EXPECT_TRUE(plan.links.empty());
+}
+
 TEST(Plan, AZoneThatServesItsOwnIsCutOffAndNotIll) {
   Planner planner(three());
   auto in = calm(300, 1000);
