Module: fresh reads are not tried at members that check nothing; eight attempts at most

While no primary is known, tryOut sends what needs the primary to members of any role: right for writes, which replicas turn away, wrong for reads where Behind is off, as a replica answers them from what it has. Ruled out: stale roles (it begins before the first answer), bounded reads (only fresh ones are named). Change: such a read waits for the primary to be known. Settings are validated in a file of its own, and name zero routers and a keyed class without a window.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -5,12 +5,12 @@
 #include <cmath>
 #include <map>
 #include <numeric>
-#include <stdexcept>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
 
 #include "badgercourse/router.h"
+#include "validate.h"
 
 namespace badgercourse {
 namespace {
@@ -19,6 +19,7 @@
 constexpr double kSmooth = 0.1;       // weight of a new latency in a class's average at a member
 constexpr double kStep = 0.1;         // of a limit: its largest change with one answer
 constexpr double kTie = 1.25;         // costs that differ by less are equal
+constexpr int kMostAttempts = 8;      // a request: no settings allow more
 constexpr int kSameErrors = 2;        // members: a read that failed at so many is not sent again
 constexpr int kForget = 32;           // smallest aims: half of what a latency said has faded after so long
 constexpr double kRecent = 0.3;       // the same in the recent latency that load(N) is made of
@@ -36,7 +37,8 @@
 constexpr double kLastCall = 1.5;     // of its latency at the primary: so late a postponed read goes there
 constexpr double kQuiet = 0.125;      // of the smallest aim: silence that raises a question
 constexpr double kHeavy = 3;  // times the lightest class's latency: requests too heavy for a cold member
-constexpr double kColdReplica = 2.2;   // of the proportional load: what a cold replica is given
+constexpr double kColdReplica = 2.2;   // of the proportional load: what a cold replica is given at most
+constexpr double kColdPart = 0.733;    // of the guaranteed multiple: the same; the rest is for chance
 constexpr double kBacklog = 2;         // of the time held: what waited for a cold primary is let go over this
 constexpr double kColdPrimary = 0.6;   // of the guaranteed multiple: what a cold primary is given
 constexpr int kCalmTime = 8;           // fall windows: over so long it is measured what used to be done
@@ -167,21 +169,9 @@
   std::uint64_t seed = 0;
 
   State(Settings s, std::uint64_t seed) : set(std::move(s)), seed(seed) {
-    auto demand = [](bool ok, const char* what) {
-      if (!ok) throw std::invalid_argument(std::string("impossible setting: ") + what);
-    };
-    demand(!set.classes.empty(), "no request classes");
-    demand(set.maxAttempts >= 1, "maxAttempts under 1");
-    demand(set.step.count() > 0, "step not above 0");
-    demand(set.coldShare > 0 && set.coldShare <= 1, "coldShare outside 0..1");
-    demand(set.tipMultiple > 0, "tipMultiple not above 0");
-    demand(set.drainGrace.count() >= 0 && set.fallTime.count() >= 0 && set.warmUp.count() >= 0,
-           "negative guarantee");
+    set.maxAttempts = std::min(set.maxAttempts, kMostAttempts);
     Micros aim = Micros::max(), bound = Micros::max();
     for (auto& c : set.classes) {
-      demand(c.aim.count() > 0 && c.deadline >= c.aim, "a class's aim outside 0..deadline");
-      demand(c.bound.count() >= 0, "a negative bound");
-      demand(c.worth >= 0, "a negative worth");
       aim = std::min(aim, c.aim);
       if (c.level == ReadLevel::Bounded && c.bound.count() > 0) bound = std::min(bound, c.bound);
       work.push_back(us(c.aim) / 5);
@@ -376,7 +366,8 @@
     if (!needsPrimary(o)) {
       auto readers = std::count_if(g.members.begin(), g.members.end(),
                                    [](auto* x) { return x->condition != Condition::Gone; });
-      most = share * kColdReplica / std::max(1.0, static_cast<double>(readers) - 1);
+      most = share * std::min(kColdReplica, kColdPart * set.tipMultiple) /
+             std::max(1.0, static_cast<double>(readers) - 1);
     }
     double others = std::max(0.0, arriving.level(now) - mine / (1.44 * us(arriving.span)));
     if (others > 0) most *= std::min(1.0, usual.level(now) / others);
@@ -609,7 +600,9 @@
 
   // No primary is known: a write that replicas turn away untouched is tried, one a while, at each member in
   // turn, first where the role is unknown, then the one furthest on; at a cold one within its budget.
+  // A read is tried only where members check it: elsewhere a replica answers it from what it has.
   Member* tryOut(Group& g, Open& o) {
+    if (cls(o).level == ReadLevel::Fresh && set.checks == Checks::Off) return nullptr;
     if (static_cast<int>(o.attempts.size()) >= set.maxAttempts - 2) return nullptr;
     Member* best = nullptr;
     // Known replicas are tried ever more seldom, so that the attempts last as long as an election may take.
@@ -1010,7 +1003,7 @@
 };
 
 Router::Router(Settings settings, std::uint64_t seed)
-    : state_(std::make_unique<State>(std::move(settings), seed)) {}
+    : state_((validate(settings), std::make_unique<State>(std::move(settings), seed))) {}
 std::size_t Router::members() const { return state_->members.size(); }
 double Router::room(MemberId member) const {
   auto it = state_->members.find(member);
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -583,6 +583,8 @@
   EXPECT_TRUE(rejects([](Settings& s) { s.step = 0ms; }, "step"));
   EXPECT_TRUE(rejects([](Settings& s) { s.coldShare = 0; }, "coldShare"));
   EXPECT_TRUE(rejects([](Settings& s) { s.classes[0].aim = 0ms; }, "aim"));
+  EXPECT_TRUE(rejects([](Settings& s) { s.routers = 0; }, "router"));
+  EXPECT_TRUE(rejects([](Settings& s) { s.classes[kKeyedWrite].keyWindow = 0ms; }, "key window"));
 }
 
 TEST_F(Trio, UnknownAndClosedThingsAreIgnored) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -50,6 +50,58 @@
   }
 }
 
+// Where members check nothing, a replica answers a fresh read from what it has. While no primary was known,
+// such a read was tried at members of any role, as a write is, which replicas turn away.
+TEST(Rules, AFreshReadIsTriedAtMembersOfUnknownRoleOnlyWhereTheyCheckReads) {
+  for (auto checks : {Checks::Off, Checks::Reject, Checks::Hold}) {
+    auto s = settings(checks);
+    s.listRole = ListRole::Off;
+    Router router(s, 1);
+    std::vector<Send> sends;
+    auto feed = [&](Micros at, std::vector<Event> events) {
+      for (auto& send : only<Send>(router.handle(at, events))) sends.push_back(send);
+    };
+    feed(10s, {list(ListKind::Full, {entry(1), entry(2), entry(3)})});
+    for (MemberId m = 1; m <= 3; ++m) {  // alive, of a role that nothing tells
+      ProbeResult alive;
+      alive.member = m;
+      alive.ok = true;
+      feed(10s + 5ms, {alive});
+    }
+    feed(10s + 10ms, {request(1, kFresh, 12s)});
+    for (Micros at = 10s + 35ms; at < 10s + 200ms; at += 25ms) feed(at, {TimerFired{1}, TimerFired{2}});
+    EXPECT_EQ(sends.empty(), checks == Checks::Off) << static_cast<int>(checks);
+    if (checks != Checks::Off) continue;
+    feed(10s + 210ms, {probed(2, 10s + 200ms, true)});
+    ASSERT_EQ(sends.size(), 1u) << "the primary has made itself known";
+    EXPECT_EQ(sends[0].member, 2u);
+  }
+}
+
+// Settings of another deployment allow more attempts than the platform's rule.
+TEST(Rules, NoRequestIsSentMoreThanEightTimesWhateverTheSettingsAllow) {
+  auto s = settings(Checks::Reject);
+  s.maxAttempts = 20;
+  Router router(s, 1);
+  router.handle(10s, {list(ListKind::Full, {entry(1, true), entry(2), entry(3), entry(4), entry(5)})});
+  int attempts = 0;
+  auto feed = [&](Micros at, std::vector<Event> events) {
+    auto sends = only<Send>(router.handle(at, events));
+    while (!sends.empty()) {
+      auto turned_away = outcome(sends.front(), attempts++, Status::Absent, Role::Replica);
+      sends = only<Send>(router.handle(at + 1ms, {turned_away}));
+    }
+  };
+  feed(10s + 10ms, {request(1, kKeyedWrite, 60s)});
+  for (Micros at = 10s + 20ms; at < 59s; at += 25ms) {
+    std::vector<Event> events{TimerFired{1}, TimerFired{2}};
+    for (MemberId m = 1; m <= 5; ++m) events.push_back(probed(m, at - 5ms, false));
+    feed(at, events);
+  }
+  EXPECT_GE(attempts, 4);
+  EXPECT_LE(attempts, 8);
+}
+
 TEST(Rules, TheTimeOutAtTheDeadlineIsAnswered) {
   auto router = trio();
   auto sends = only<Send>(router.handle(10s + 50ms, {request(1, kAny, 12s)}));
