Server pool: a probe is written as soon as its connection is up

Cause: since attempts begin at the end of a turn, new connections of pools without such an end (the decision thread of several workers, the owner's prober) were never written to, so probes on them were lost: after a miss no role was learned and the guard failed the request ('still undecided when its time ended', 2 of 3 runs of the test of SIGHUP and SIGTERM under load with four workers). Checked: the lost attempt had ended as a miss, not on its way. Change: only clients' attempts wait for the end of the turn.

--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -138,6 +138,10 @@
     auto parse = pg::parse_frame(in_.view().substr(parsed_), kLongestMessage, &message);
     if (parse == pg::Parse::kMore) break;
     if (parse == pg::Parse::kOk && message.type == 'Z' && state_ == State::kGreeting && error_.empty()) {
+      if (job_->probe) {  // nobody's end goes before it, and not all who probe have such an end of turn
+        ready();
+        continue;
+      }
       state_ = State::kUp;
       pool_.loop_.cancel(&job_timer_);
       in_.consume(in_.view().size());
