--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -243,9 +243,9 @@
     auto quiet = now - session->idle_since();
     // Whoever came in this very turn has had no chance to speak.
     int rank = session->draining() ? 0
-               : session->spare()  ? (quiet >= kSilentClient ? 1
-                                      : quiet.count() > 0    ? 4
-                                                             : -1)
+               : session->spare()  ? (quiet >= kSilentClient && !session->mid_command() ? 1
+                                      : quiet.count() > 0                               ? 4
+                                                                                        : -1)
                : session->idle()   ? (quiet >= kIdleClient  ? 2
                                       : quiet >= kJustAsked ? 3
                                                             : -1)  // its answer may still be on the way
@@ -279,7 +279,9 @@
   auto count = std::min(own, idle.size());
   std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end(),
                     [](auto* a, auto* b) { return a->idle_since() < b->idle_since(); });
-  for (std::size_t i = 0; i < count; ++i) idle[i]->close();
+  // What has arrived since this turn's events were fetched is read first: whoever asks is not idle.
+  for (std::size_t i = 0; i < count; ++i)
+    if (idle[i]->read_once() && idle[i]->idle()) idle[i]->close();
 }
 
 bool Proxy::buffered(std::ptrdiff_t change) {
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -248,6 +248,38 @@
   CHECK(client.answer().code == "57014");
 }
 
+// ---- the proxy's own closing of a connection -----------------------------------------------------------
+
+TEST_CASE("crossing: a request arrives as its connection is to be closed for being idle") {
+  constexpr std::size_t kDescriptors = 64, kKept = kDescriptors / 4;
+  Rig rig(kDescriptors);
+  std::vector<std::unique_ptr<Client>> clients;
+  std::promise<void> fetched, asked;
+  {
+    std::optional<Rig::StandStill> still;
+    for (std::size_t i = 0; i < kKept + 1; ++i) {  // one more than are kept
+      clients.push_back(std::make_unique<Client>(rig.port));
+      REQUIRE(clients.back()->ask(read_sql("x" + std::to_string(i))).row);
+    }
+    still.emplace(rig, [&](proxy::Proxy& p) {
+      p.before_turn_end = [&, turn = 0]() mutable {
+        if (++turn != 2) return;  // the first is the turn that stands still
+        fetched.set_value();
+        asked.get_future().wait();
+      };
+    });
+    std::this_thread::sleep_for(60ms);  // those that asked in the last 50 ms are not closed
+  }
+  // The events of the turn that closes the oldest are fetched; now it asks.
+  fetched.get_future().wait();
+  for (std::size_t i = 0; i < clients.size(); ++i)
+    REQUIRE(clients[i]->send(pg::simple_query(read_sql("z" + std::to_string(i)))));
+  asked.set_value();
+  for (auto& client : clients) CHECK(client->answer().row);
+  rig.with_proxy([](proxy::Proxy& p) { p.before_turn_end = [] {}; });
+  let_it_turn(rig);
+}
+
 // ---- how long a client still waits --------------------------------------------------------------------
 
 TEST_CASE("crossing: a request that waited to be accepted passes on what its client has left") {
