Rules: the fleet's sum of calls to a cold member, in every window, for 1 to 600 routers

Need: the bound on slow start (N + 2 x root of N + 2 calls, under 30 calls 3 x root of N + 3) holds for the sum over all routers. Test in simulated time: 1 to 300 routers, guaranteed multiples from 1.2 to 4, six seeds each, reads that are turned away and sent on, a burst, a third of the routers restarted, a cold member that looks the better choice; every window inside the warm-up is counted. The older test runs with 1, 20, 30 and 300 routers too.

--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,5 +1,6 @@
 // The five rules, each by itself and then under random but lawful sequences of events with fixed seeds.
 // The random test keeps its own books; it models no servers and no load.
+#include <cmath>
 #include <map>
 #include <random>
 #include <set>
@@ -258,7 +259,87 @@
   EXPECT_LT(atOnce, all / 5);
 }
 
-INSTANTIATE_TEST_SUITE_P(Counts, ManyRouters, ::testing::Values(3, 60, 600));
+INSTANTIATE_TEST_SUITE_P(Counts, ManyRouters, ::testing::Values(1, 3, 20, 30, 60, 300, 600));
+
+// Slow start, as the platform counts it: in no window of the fall time may the sum of all routers send a cold
+// member more than N + 2 x root of N + 2 calls, under 30 calls 3 x root of N + 3, where N is what the
+// settings allow it. The routers know nothing of each other; reads that other members turn away are sent on,
+// a burst comes in the middle, and a third of the routers start anew shortly after the member did.
+struct SlowStartCase {
+  int routers;
+  double tip_multiple, calls_per_second;  // of a warm member
+};
+class SlowStart : public ::testing::TestWithParam<SlowStartCase> {};
+
+TEST_P(SlowStart, NoWindowOfAllRoutersGoesOverWhatTheSettingsAllow) {
+  auto [routers, tip_multiple, calls_per_second] = GetParam();
+  constexpr Micros kStart = 30s, kEnd = 42s;
+  constexpr MemberId kCold = 2;
+  auto s = settings(Checks::Reject);
+  s.routers = routers;
+  s.tipMultiple = tip_multiple;
+  s.probes = false;
+  std::size_t calls = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    std::mt19937_64 random(seed);
+    auto chance = [&] { return std::uniform_real_distribution<double>()(random); };
+    auto entries = [&](Micros now) {
+      std::vector<MemberEntry> all{entry(1, true), entry(kCold), entry(3), entry(4)};
+      if (now >= kStart) all[1].startedAt = kStart;
+      return all;
+    };
+    std::vector<Router> fleet;
+    auto start = [&](Micros now) {
+      Router router(s, random());
+      router.handle(now, {list(ListKind::Full, entries(now))});
+      return router;
+    };
+    for (int r = 0; r < routers; ++r) fleet.push_back(start(10s));
+    std::vector<Micros> sent;
+    bool told = false, restarted = false;
+    RequestId id = 0;
+    // Three replicas work at 0.8 of what they can do, half as much again for 3 s.
+    for (Micros at = 10s + 1ms; at < kEnd;) {
+      if (at >= kStart && !std::exchange(told, true))
+        for (auto& router : fleet) router.handle(at, {list(ListKind::Full, entries(at))});
+      if (at >= kStart + 2s && !std::exchange(restarted, true))
+        for (std::size_t r = 0; r < fleet.size(); r += 3) fleet[r] = start(at);
+      auto& router = fleet[random() % fleet.size()];
+      auto sends = only<Send>(router.handle(at, {request(++id, kAny, at + 2s)}));
+      for (int attempt = 0; !sends.empty(); ++attempt) {
+        auto send = sends.front();
+        if (send.member == kCold && at >= kStart) sent.push_back(at);
+        auto role = send.member == 1 ? Role::Primary : Role::Replica;
+        bool missed = send.member != 1 && chance() < 0.2;
+        auto ended = outcome(send, attempt, missed ? Status::Absent : Status::Success, role);
+        ended.taken = send.member == kCold ? 10ms : 40ms;  // it looks the better choice
+        sends = only<Send>(router.handle(at + 5ms, {ended}));
+      }
+      bool burst = at >= kStart + 4s && at < kStart + 7s;
+      double rate = 3 * 0.8 * calls_per_second * (burst ? 1.5 : 1);
+      at += Micros(static_cast<std::int64_t>(-std::log(1 - chance()) * 1e6 / rate));
+    }
+    calls += sent.size();
+    for (std::size_t first = 0, last = 0; first < sent.size(); ++first) {
+      if (sent[first] + s.fallTime > kStart + s.warmUp) break;  // it is warm before this window ends
+      while (last < sent.size() && sent[last] - sent[first] < s.fallTime) ++last;
+      double age =
+          static_cast<double>((sent[first] - kStart).count()) / static_cast<double>(s.warmUp.count());
+      double part = std::min(1.0, s.coldShare + (1 - s.coldShare) * age);
+      double n = tip_multiple * part * calls_per_second * static_cast<double>(s.fallTime.count()) / 1e6;
+      double most = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+      ASSERT_LE(static_cast<double>(last - first), most) << "seed " << seed << ", at " << sent[first].count();
+    }
+  }
+  EXPECT_GT(calls, 0u) << "it is used while it is cold";
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, SlowStart,
+                         ::testing::Values(SlowStartCase{1, 3, 20}, SlowStartCase{3, 1.5, 40},
+                                           SlowStartCase{3, 3, 4}, SlowStartCase{20, 2, 20},
+                                           SlowStartCase{30, 4, 40}, SlowStartCase{30, 1.2, 8},
+                                           SlowStartCase{300, 3, 20}, SlowStartCase{300, 1.5, 40},
+                                           SlowStartCase{30, 1.2, 200}));
 
 struct Book {
   Request r;
