Attempts tell by when they may begin: no repeat after its key window

Checked: the first attempt's own time is counted from its decision, which is before the server can have had it. Change: Send::startWithin, passed on to the pool, which does not write an attempt later; it ends as never sent.

--- a/include/badgercourse/router.h
+++ b/include/badgercourse/router.h
@@ -160,6 +160,9 @@
   RequestId id;
   MemberId member;
   Micros timeout;
+  // How long from now the attempt may begin, where its connection has to come up first. One that has not
+  // begun by then is not to be made, and its outcome is Void.
+  Micros startWithin = Micros::max();
 };
 struct Cancel {
   RequestId id;
--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -467,15 +467,24 @@
   // ---- send, postpone, refuse --------------------------------------------------------------------------
 
   void send(Open& o, Member& m) {
-    // The time-out is the client's own. A shorter one would not free a member that works on regardless, but
-    // hide that work from the flights counted here and bring the client's retry on top.
+    // The client's own time: a shorter one would not free the member, but hide its work from the count here.
     Micros timeout = std::max(o.r.expires - now, Micros(1));
     o.attempts.push_back({m.id, now, true, false});
     ++o.outs;
     activate(m);
     m.flying.push_back({o.r.id, static_cast<int>(o.attempts.size()) - 1, o.r.cls, now});
     m.sentAt = now;
-    out.push_back(Send{o.r.id, m.id, timeout});
+    out.push_back(Send{o.r.id, m.id, timeout, startWithin(o, m)});
+  }
+
+  // A connection may come up when a repeat's window, or the grace of a drain told meanwhile, is over.
+  Micros startWithin(const Open& o, const Member& m) const {
+    Micros told = m.toldAt == kNone ? now : m.toldAt;
+    Micros within = set.drainGrace.count() > 0 ? told + set.drainGrace - now : Micros::max();
+    for (auto& a : o.attempts)
+      if (a.mayHaveRun && cls(o).effect == Effect::Keyed)
+        within = std::min(within, a.sentAt + cls(o).keyWindow - set.step * 2 - now);
+    return within;
   }
 
   static bool failedAt(const Open& o, const Member& m) {
@@ -677,10 +686,8 @@
 
   void seek(Group& g) {
     if (g.soughtAt != kNone && now - g.soughtAt < g.seekGap) return;
-    // Where members check nothing, reads are not tried out, so a first search finds the primary at any
-    // budget.
-    if (set.checks == Checks::Off && g.soughtAt == kNone)
-      probeTokens += static_cast<double>(g.members.size());
+    // Nothing is tried out where members check nothing, so there a first search goes beyond the budget.
+    if (set.checks == Checks::Off && g.soughtAt == kNone) probeTokens += 1.0 * g.members.size();
     g.soughtAt = now;
     g.seekGap = std::min(g.seekGap * 2, quiet * 8);
     for (auto* m : g.members)
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -191,7 +191,7 @@
   }
   ++counters_.sends;
   if (watching_) watching_->sent(d, loop_.now() - open_.at(d.request).since > kWaited);
-  pool_.start(d.request, d.attempt, d.server, d.wait);
+  pool_.start(d.request, d.attempt, d.server, d.wait, d.begin_within);
 }
 
 void Dispatcher::end_of_turn() {
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -87,7 +87,7 @@
       if (job_) finish(ending_of_cancel(false), false);  // else ended with its request
       return true;
     }
-    if (job_->deadline <= loop.now()) {
+    if (loop.now() >= std::min(job_->deadline, job_->begin_by)) {
       finish(ending_of_timeout(false), false);
       return true;
     }
@@ -325,12 +325,14 @@
   for (auto* connection : idle) close(connection);
 }
 
-void ServerPool::start(RequestId request, int attempt, const std::string& server, Micros wait) {
+void ServerPool::start(RequestId request, int attempt, const std::string& server, Micros wait,
+                       Micros begin_within) {
   ServerConnection::Job job;
   job.request = request;
   job.attempt = attempt;
   job.started = loop_.now();
   job.deadline = loop_.now() + wait;
+  if (begin_within != Micros::max()) job.begin_by = loop_.now() + begin_within;
   run(server, job);
 }
 
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -42,6 +42,7 @@
     RequestId request = 0;
     int attempt = 0;
     Micros started{0}, deadline{0};
+    Micros begin_by = Micros::max();  // it is not written later
   };
   // What has been read of the answer, as offsets into the buffer: it may move while more comes in.
   struct Span {
@@ -83,7 +84,7 @@
 
   void update(const discovery::MemberUpdate& list);
   void set_limits(PoolLimits limits) { limits_ = limits; }  // for what begins from now on
-  void start(RequestId request, int attempt, const std::string& server, Micros wait);
+  void start(RequestId request, int attempt, const std::string& server, Micros wait, Micros begin_within);
   // Closes; tells nobody unless an attempt was out, and where `attempt` is given, just that one.
   void cancel(RequestId request, std::optional<int> attempt = std::nullopt);
   void probe(const std::string& server);
--- a/src/routing/facade.cpp
+++ b/src/routing/facade.cpp
@@ -226,6 +226,7 @@
       d.attempt = attempts_[send->id]++;
       d.server = servers_[send->member].name;
       d.wait = send->timeout;
+      d.begin_within = send->startWithin;
     } else if (auto* cancel = std::get_if<bc::Cancel>(&action)) {
       d.what = Decision::What::kCancel;
       d.request = cancel->id;
--- a/src/routing/facade.h
+++ b/src/routing/facade.h
@@ -70,10 +70,11 @@
   enum class What { kSend, kHold, kRefuse, kFail, kCancel, kProbe };
   What what = What::kHold;
   RequestId request = 0;
-  int attempt = 0;        // kSend, kCancel
-  std::string server;     // kSend, kProbe
-  Micros wait{0};         // kSend: how long this attempt may take
-  Micros retry_after{0};  // kRefuse; 0: no guidance
+  int attempt = 0;                      // kSend, kCancel
+  std::string server;                   // kSend, kProbe
+  Micros wait{0};                       // kSend: how long this attempt may take
+  Micros begin_within = Micros::max();  // kSend: the attempt is not made where it cannot begin by then
+  Micros retry_after{0};                // kRefuse; 0: no guidance
   // Where it was made in another thread: when, and after how many changes of the list; and whether it comes
   // too late to be carried out, so that it goes back as never sent.
   Micros made{0};
--- a/src/workers/remote_decider.cpp
+++ b/src/workers/remote_decider.cpp
@@ -51,7 +51,10 @@
     if (verdict == Fence::Verdict::kAhead) break;  // its list is in the mailbox, which ends the next sleep
     decision->stale = verdict != Fence::Verdict::kGood;
     returned_ += decision->stale;
-    if (decision->what == routing::Decision::What::kSend) decision->wait -= now - decision->made;
+    if (decision->what == routing::Decision::What::kSend) {
+      decision->wait -= now - decision->made;
+      if (decision->begin_within != Micros::max()) decision->begin_within -= now - decision->made;
+    }
     ticked.decisions.push_back(std::move(*decision));
     line_.made.pop();
   }
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -248,6 +248,32 @@
   CHECK(client.answer().code == "57014");
 }
 
+// ---- attempts -----------------------------------------------------------------------------------------
+
+TEST_CASE("crossing: a repeat's key window ends while its connection comes up") {
+  constexpr auto kWindow = 400ms;
+  Rig rig(200, "", false, [&](app::Config& config) {
+    for (auto& c : config.settings.classes) c.keyWindow = kWindow;
+    config.pool.connect_timeout = 10s;
+  });
+  Client client(rig.port);
+  REQUIRE(client.ask(write_sql("m0")).row);
+  rig.primary.reply = [](const std::string&) { return Reply{Reply::kReset, "", 0}; };
+  auto before = rig.primary.count();
+  auto connections = rig.primary.connections.load();
+  rig.primary.hold_greeting = true;
+  client.send(pg::simple_query(write_sql("m1", 3000)));
+  REQUIRE(soon([&] { return rig.primary.count() == before + 1; }));      // it has run, for all that is known
+  REQUIRE(soon([&] { return rig.primary.connections > connections; }));  // and is on its way again
+  std::this_thread::sleep_for(kWindow + 50ms);                           // the time under test
+  rig.primary.reply = [](const std::string&) { return Reply{}; };
+  rig.primary.hold_greeting = false;
+  auto answer = client.answer();
+  CHECK_FALSE(answer.row);
+  CHECK(answer.code == "57014");
+  CHECK(rig.primary.count() == before + 1);
+}
+
 // ---- the proxy's own closing of a connection -----------------------------------------------------------
 
 TEST_CASE("crossing: a request arrives as its connection is to be closed for being idle") {
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -385,11 +385,14 @@
 
 // A set of one primary and one replica, discovery, and the proxy.
 struct Rig {
-  explicit Rig(std::size_t descriptors = 200, const std::string& extra = "", bool silent = false) {
+  explicit Rig(
+      std::size_t descriptors = 200, const std::string& extra = "", bool silent = false,
+      const std::function<void(app::Config&)>& adjust = [](app::Config&) {}) {
     discovery.silent = silent;
     discovery.set(entry("s-p", primary) + "," + entry("s-r", replica));
     config = app::parse_config(config_text(discovery.address(), discovery.list(), extra));
     config.sockets = descriptors;
+    adjust(config);
     std::promise<int> started;
     stop_ = net::Fd(eventfd(0, EFD_NONBLOCK));
     runs_ = std::thread([this, &started] {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -46,6 +46,8 @@
     auto actions =
         router.handle(late ? 11s + 60ms : 10s + 90ms, {outcome(sends[0], 0, Status::Failure, Role::Primary)});
     EXPECT_EQ(only<Send>(actions).size(), late ? 0u : 1u);
+    for (auto& again : only<Send>(actions))
+      EXPECT_LE(again.startWithin, 1s - 40ms) << "its connection may take a while to come up";
     EXPECT_EQ(only<Fail>(actions).size(), late ? 1u : 0u);
     EXPECT_TRUE(only<Refuse>(actions).empty()) << "only its group discards repeats";
   }
