Network tests: one place starts a session and words a CancelRequest

The same nine lines stood in two tests; both now demand the key that the start must bring, which only one did. No source of the program is touched.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -240,17 +240,13 @@
   Rig rig;
   rig.primary.reply = [](const std::string&) { return Reply{Reply::kSilence, "", 0}; };
   Client client(rig.port, false);
-  client.send(pg::startup_message("backend", "store"));
-  std::string key;
-  for (auto [type, body] = client.message(); type != 'Z' && type != 0;
-       std::tie(type, body) = client.message())
-    if (type == 'K') key = body;
+  auto key = client.start();
   client.send(pg::simple_query(write_sql("e1", 60000)));
   REQUIRE(soon([&] { return rig.primary.count() == 1; }));
   {
     Rig::StandStill still(rig);
     Client canceller(rig.port, false);
-    canceller.send(std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + key);
+    canceller.send(cancel_request(key));
     canceller.close();
   }
   CHECK(client.answer().code == "57014");
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -338,6 +338,11 @@
   std::string value, code, detail, tag;
 };
 
+// `key`: what the session to cancel was given at its start.
+inline std::string cancel_request(const std::string& key) {
+  return std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + key;
+}
+
 class Client : public Peer {
  public:
   explicit Client(int port, bool greeted = true) : Peer(Peer::to(port)) {
@@ -345,6 +350,15 @@
     send(pg::startup_message("backend", "store"));
     REQUIRE(answer().end == 'Z');
   }
+  // Starts the session of a client that is not greeted yet; what a CancelRequest names it by.
+  std::string start() {
+    std::string key;
+    send(pg::startup_message("backend", "store"));
+    for (auto [type, body] = message(); type != 'Z' && type != 0; std::tie(type, body) = message())
+      if (type == 'K') key = body;
+    REQUIRE(key.size() == 8);
+    return key;
+  }
   Answer answer() {
     Answer a;
     while (true) {
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -199,20 +199,14 @@
   Rig rig;
   rig.primary.reply = [](const std::string&) { return Reply{Reply::kSilence, "", 0}; };
   Client client(rig.port, false);
-  client.send(pg::startup_message("backend", "store"));
-  std::string key;
-  for (auto [type, body] = client.message(); type != 'Z' && type != 0;
-       std::tie(type, body) = client.message())
-    if (type == 'K') key = body;
-  REQUIRE(key.size() == 8);
+  auto key = client.start();
   client.send(pg::simple_query(write_sql("x1", 60000)));
   REQUIRE(soon([&] { return rig.primary.count() == 1; }));
-  auto head = std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8);
   auto wrong = key;
   wrong.back() = static_cast<char>(wrong.back() + 1);
   for (auto& named : {wrong, key}) {
     Client canceller(rig.port, false);
-    canceller.send(head + named);
+    canceller.send(cancel_request(named));
     CHECK_FALSE(canceller.more());
     CHECK(rig.primary.open >= (named == key ? 0 : 1));
   }
