Log marks that are taken over, and each attempt, rejection and failure with its reason

Cause: on-call could not tell whether a second process knew of a cordon, nor why an attempt went to a server. Change: a line for each mark that comes from another process, with that process and the age of the call; level debug in the operator's file logs each attempt, rejection and failure with its reason, which the decision module now gives. Decisions are as before.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -206,6 +206,22 @@
 
 // Actions.
 
+// Why a member was chosen for an attempt.
+enum class SendReason {
+  kKnownPrimary,     // the request needs the primary, and this member is known to be it
+  kDrainingPrimary,  // the same, within the grace after the first notice of its drain
+  kPrimaryTrial,     // the request needs the primary, and none is known
+  kReplica,          // a read, at the member of least cost that is fresh enough
+  kReadAtPrimary     // a read that no replica can serve in time
+};
+
+// Why a request was given up.
+enum class GiveUpReason {
+  kUnknownGroup,   // no member list has named its group
+  kBeyondPlan,     // beyond the shares of the plan of zones
+  kCannotBeInTime  // it can no longer be answered in time, or may not be sent again
+};
+
 // Send the request to the member.
 struct Send {
   RequestId id;
@@ -214,6 +230,7 @@
   // How long from now the attempt may begin, where its connection has to come up first. One that has not
   // begun by then is not to be made, and its outcome is Status::kNotStarted.
   Micros start_within = Micros::max();
+  SendReason reason = SendReason::kReplica;
 };
 // Cancel an attempt that is in flight; its outcome is awaited all the same.
 struct Cancel {
@@ -224,10 +241,12 @@
 struct Reject {
   RequestId id;
   Micros retry_after;  // 0: no guidance
+  GiveUpReason reason = GiveUpReason::kCannotBeInTime;
 };
 // Answer the request with a failure: it may have run.
 struct Fail {
   RequestId id;
+  GiveUpReason reason = GiveUpReason::kCannotBeInTime;
 };
 // Probe the member.
 struct Probe {
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -48,8 +48,9 @@
   return std::min<std::size_t>(limit.rlim_cur, wanted);
 }
 
-proxy::ProxyOptions options_of(const Config& config) {
+proxy::ProxyOptions options_of(const Config& config, const OperatorFile& own) {
   proxy::ProxyOptions options;
+  options.logs_decisions = own.log.least == net::Level::kDebug;
   options.listen = config.listen;
   options.discovery = config.discovery;
   options.descriptors = descriptor_limit(config.sockets);
@@ -99,7 +100,7 @@
   auto told = running;
   told.read();
   logger.configure(told.own.log);
-  apply(options_of(told.config), told.own);
+  apply(options_of(told.config, told.own), told.own);
   bool restart = told.config.listen != running.config.listen ||
                  told.config.settings_text != running.config.settings_text;
   log(net::Level::kInfo,
@@ -144,7 +145,7 @@
 
 int serve_with_workers(const Told& told, Logger& logger, const net::Log& log, bool* has_started) {
   auto& own = told.own.workers;
-  workers::WorkerPoolConfig config{told.config.settings, told.config.seed, options_of(told.config), own};
+  workers::WorkerPoolConfig config{told.config.settings, told.config.seed, options_of(told.config, told.own), own};
   net::Loop control;
   Operations operations(control, told.config, told.environment, log);
   operations.prepare(&config.proxy);
@@ -192,7 +193,7 @@
   routing::DecisionFacade facade(
       config.settings, config.seed, routing::UnixClock::measured(),
       [&](const std::string& text) { log(net::Level::kInfo, "decisions: " + text); });
-  auto options = options_of(config);
+  auto options = options_of(config, told.own);
   routing::LocalDecider decider(facade);
   options.watches = !told.own.group;
   Operations operations(loop, config, told.environment, log);
--- a/src/app/logger.cpp
+++ b/src/app/logger.cpp
@@ -24,11 +24,15 @@
 constexpr std::size_t kQueue = 512;
 
 const char* word(spdlog::level::level_enum level) {
-  return level >= spdlog::level::err ? "error" : level == spdlog::level::warn ? "warning" : "info";
+  if (level >= spdlog::level::err) return "error";
+  if (level == spdlog::level::warn) return "warning";
+  return level == spdlog::level::info ? "info" : "debug";
 }
 
 spdlog::level::level_enum level_of(net::Level level) {
   switch (level) {
+    case net::Level::kDebug:
+      return spdlog::level::debug;
     case net::Level::kInfo:
       return spdlog::level::info;
     case net::Level::kWarning:
--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -109,8 +109,8 @@
   }
   handover::ProcessExchange::Host host;
   host.cordons = [this] { return cordons_.marks(); };
-  host.merge_cordons = [this](const endpoint_list::CordonMarks& marks) {
-    if (auto change = cordons_.merge(marks)) process_.apply_change(std::move(*change));
+  host.merge_cordons = [this](const endpoint_list::CordonMarks& marks, pid_t from) {
+    merge_cordons(marks, from);
   };
   host.descriptors = process_.descriptors_held;
   host.on_others_changed = [this](const handover::OtherProcesses& others) {
@@ -122,6 +122,18 @@
   exchange_.emplace(loop_, shared_folder_, inherited_listener_, std::move(host), log_);
 }
 
+void Operations::merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from) {
+  auto merge = cordons_.merge(marks);
+  if (!merge) return;
+  auto now = net::monotonic_now();
+  for (auto& [server, mark] : merge->taken_over)
+    log_(net::Level::kInfo,
+         fmt::format("server {} {}, as process {} has it, {:.3f} s after the call", server,
+                     mark.is_cordoned ? "is cordoned by an operator" : "was put back by an operator", from,
+                     std::chrono::duration<double>(now - mark.changed_at).count()));
+  process_.apply_change(std::move(merge->change));
+}
+
 void Operations::forward_cancel(std::uint32_t number, std::uint32_t secret) {
   if (exchange_) exchange_->forward_cancel(number, secret);
 }
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -57,6 +57,7 @@
  private:
   void watch_owner();
   void start_exchange();
+  void merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from);
   void set_cordon(const std::string& server, bool is_cordoned,
                   const operator_endpoint::OperatorListener::Answer& answer);
   void handle(const operator_endpoint::OperatorCommand& command,
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -128,6 +128,7 @@
     auto level = l.value("level", "info");
     file.log.least = level == "error"     ? net::Level::kError
                      : level == "warning" ? net::Level::kWarning
+                     : level == "debug"   ? net::Level::kDebug
                                           : net::Level::kInfo;
     file.log.lines_per_second = l.value("lines_per_second", file.log.lines_per_second);
   }
--- a/src/endpoint_list/cordons.cpp
+++ b/src/endpoint_list/cordons.cpp
@@ -59,21 +59,20 @@
   return Result::kDone;
 }
 
-std::optional<EndpointListUpdate> Cordons::merge(const CordonMarks& marks) {
-  EndpointListUpdate change;
-  bool has_changed = false;
+std::optional<Cordons::Merge> Cordons::merge(const CordonMarks& marks) {
+  Merge merge;
   for (auto& [id, mark] : marks) {
     auto known = marks_.find(id);
     bool is_later =
         known == marks_.end() ? marks_.size() < kMostCordonMarks : known->second.changed_at < mark.changed_at;
     if (!is_later) continue;
     marks_[id] = mark;
-    has_changed = true;
-    add_change(id, &change);
+    merge.taken_over[id] = mark;
+    add_change(id, &merge.change);
   }
-  if (!has_changed) return std::nullopt;
-  change.generation = generation_;
-  return change;
+  if (merge.taken_over.empty()) return std::nullopt;
+  merge.change.generation = generation_;
+  return merge;
 }
 
 bool Cordons::is_last_of_group(const std::string& id) const {
--- a/src/endpoint_list/cordons.h
+++ b/src/endpoint_list/cordons.h
@@ -36,8 +36,13 @@
   // A command of an operator. `change` is the update that the others need, where the result is kDone.
   Result set(const std::string& id, bool is_cordoned, Micros now, discovery::EndpointListUpdate* change);
 
+  // What another process's marks have changed here.
+  struct Merge {
+    CordonMarks taken_over;                // that are later than those here
+    discovery::EndpointListUpdate change;  // that the others need
+  };
   // Takes over later marks of another process; nullopt: there is none.
-  std::optional<discovery::EndpointListUpdate> merge(const CordonMarks& marks);
+  std::optional<Merge> merge(const CordonMarks& marks);
 
   const CordonMarks& marks() const { return marks_; }
   // Whether no other server of the id's group takes work.
--- a/src/handover/process_exchange.cpp
+++ b/src/handover/process_exchange.cpp
@@ -93,7 +93,7 @@
   auto marks = record.cordons;
   auto now = net::monotonic_now();
   std::erase_if(marks, [now](auto& mark) { return mark.second.changed_at > now; });
-  host_.merge_cordons(marks);
+  host_.merge_cordons(marks, record.process.pid);
 }
 
 void ProcessExchange::look() {
--- a/src/handover/process_exchange.h
+++ b/src/handover/process_exchange.h
@@ -26,7 +26,7 @@
   // What this process gives and takes, in the loop's thread.
   struct Host {
     std::function<endpoint_list::CordonMarks()> cordons;
-    std::function<void(const endpoint_list::CordonMarks&)> merge_cordons;
+    std::function<void(const endpoint_list::CordonMarks&, pid_t from)> merge_cordons;
     std::function<std::size_t()> descriptors;  // that this process holds
     std::function<void(const OtherProcesses&)> on_others_changed;
     std::function<void(const ForwardedCancel&)> cancel;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -7,7 +7,7 @@
 namespace database_proxy::net {
 
 // How urgent a line is for an operator.
-enum class Level { kInfo, kWarning, kError };
+enum class Level { kDebug, kInfo, kWarning, kError };
 // Receives one line without its end. May be called from the thread that owns it only.
 using Log = std::function<void(Level, const std::string&)>;
 
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -203,7 +203,22 @@
   client->reject(kComeBackFull);
 }
 
+// By the name that clients and data servers know the request by.
+void Dispatcher::log_decision(const routing::Decision& decision) const {
+  auto open = open_.find(decision.request);
+  if (open == open_.end()) return;
+  auto& name = open->second.name;
+  if (decision.kind == Kind::kSend)
+    log_(net::Level::kDebug, fmt::format("request '{}' attempt {} to {}: {}", name, decision.attempt + 1,
+                                         decision.server, decision.reason));
+  if (decision.kind == Kind::kReject || decision.kind == Kind::kFail)
+    log_(net::Level::kDebug, fmt::format("request '{}' {} after {} attempts: {}", name,
+                                         decision.kind == Kind::kReject ? "rejected" : "failed",
+                                         open->second.attempts, decision.reason));
+}
+
 void Dispatcher::carry_out(const routing::Decision& decision) {
+  if (logs_decisions_) log_decision(decision);
   switch (decision.kind) {
     case Kind::kPostpone:
       return;
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -69,6 +69,8 @@
   void expect_load_reports(bool expected) { expects_load_reports_ = expected; }
   // nullptr: nobody. It must outlive this.
   void watch(RequestObserver* watching) { observer_ = watching; }
+  // Each attempt, rejection and failure is logged with its reason, or no longer.
+  void set_logs_decisions(bool logs) { logs_decisions_ = logs; }
   void plan(request_router::Plan plan) { decider_.plan(loop_.now(), std::move(plan)); }
   // Beside the module's own wishes.
   void probe_now(const std::string& server) { probe(server); }
@@ -111,6 +113,7 @@
   void submit_new_requests();
   void reject_untouched(RequestId request);
   void carry_out(const routing::Decision& decision);
+  void log_decision(const routing::Decision& decision) const;
   ClientPort* close(RequestId request);
   void overdue(RequestId request);
 
@@ -131,6 +134,7 @@
   std::optional<routing::LoadReportCache> load_reports_;
   std::function<void(const std::string&)> on_load_report_wanted_;
   bool expects_load_reports_ = false;
+  bool logs_decisions_ = false;
   RequestObserver* observer_ = nullptr;
   std::vector<RequestId> left_;
   std::vector<routing::Request> new_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -105,6 +105,7 @@
       dispatcher_(loop, decider, options_.pool, log, siblings, options_.number + 1, options_.count),
       on_listener_(*this),
       started_at_(loop.now()) {
+  dispatcher_.set_logs_decisions(options_.logs_decisions);
   dispatcher_.pool().has_descriptor = [this] {
     auto used = descriptors_in_use();
     if (used < descriptors_allowed() || free_descriptor()) return true;
@@ -168,6 +169,7 @@
   options_.pool = options.pool;
   options_.discovery = options.discovery;
   dispatcher_.pool().set_limits(options.pool);
+  dispatcher_.set_logs_decisions(options.logs_decisions);
   if (discovery_) discovery_->move_to(options.discovery);
 }
 
--- a/src/request_router/admission.cpp
+++ b/src/request_router/admission.cpp
@@ -75,7 +75,7 @@
   PendingRequest& added = state.pending.emplace(request.id, std::move(pending)).first->second;
   auto group = state.groups.find(request.group);
   if (group == state.groups.end()) {
-    give_up(state, added);  // clients may name any number: nothing is kept for an unknown group
+    give_up(state, added, GiveUpReason::kUnknownGroup);  // clients may name any number: nothing is kept for an unknown group
     return;
   }
   group->second.postponed.push_back(request.id);
@@ -102,16 +102,16 @@
   return pending.request_class->priority_weight * std::clamp(ease, 0.0, 1.0) / work;
 }
 
-void give_up(RouterState& state, const PendingRequest& pending) {
+void give_up(RouterState& state, const PendingRequest& pending, GiveUpReason reason) {
   RequestId id = pending.request.id;
   if (may_reject(pending)) {
     double draw = state.deterministic_fraction(id, kRetryAfterDraw);
     Micros retry_after =
         scale(pending.request_class->latency_objective, kLeastRetryAfter + kRetryAfterRange * draw);
     Micros most = state.settings.retry_after ? state.settings.max_retry_after : Micros(0);
-    state.actions.emplace_back(Reject{id, std::min(most, retry_after)});
+    state.actions.emplace_back(Reject{id, std::min(most, retry_after), reason});
   } else {
-    state.actions.emplace_back(Fail{id});
+    state.actions.emplace_back(Fail{id, reason});
   }
   state.pending.erase(id);
 }
--- a/src/request_router/admission.h
+++ b/src/request_router/admission.h
@@ -25,6 +25,6 @@
 double value_per_work(const RouterState& state, const PendingRequest& pending);
 
 // Gives the request up: rejects it where its repeat by the client does no harm, else fails it.
-void give_up(RouterState& state, const PendingRequest& pending);
+void give_up(RouterState& state, const PendingRequest& pending, GiveUpReason reason);
 
 }  // namespace request_router::internal
--- a/src/request_router/attempt_lifecycle.cpp
+++ b/src/request_router/attempt_lifecycle.cpp
@@ -94,6 +94,13 @@
   --pending.in_flight_count;
 }
 
+SendReason reason_for(const PendingRequest& pending, const Member& member) {
+  bool is_primary = member.role.role == Role::kPrimary;
+  if (!pending.needs_primary()) return is_primary ? SendReason::kReadAtPrimary : SendReason::kReplica;
+  if (!is_primary) return SendReason::kPrimaryTrial;
+  return member.condition == Condition::kReady ? SendReason::kKnownPrimary : SendReason::kDrainingPrimary;
+}
+
 }  // namespace
 
 void send_attempt(RouterState& state, PendingRequest& pending, Member& member) {
@@ -106,7 +113,8 @@
   member.last_sent_at = state.now;
   // The client's own time: a shorter one would not free the member, but hide its work from the count here.
   Micros timeout = std::max(request.expires - state.now, kLeastTimeout);
-  state.actions.emplace_back(Send{request.id, member.id, timeout, start_within(state, pending, member)});
+  state.actions.emplace_back(Send{request.id, member.id, timeout, start_within(state, pending, member),
+                                  reason_for(pending, member)});
 }
 
 void on_outcome(RouterState& state, const Outcome& outcome) {
--- a/src/request_router/group_decision.cpp
+++ b/src/request_router/group_decision.cpp
@@ -22,9 +22,12 @@
     auto known = state.pending.find(id);
     if (known == state.pending.end()) continue;  // its client has gone
     PendingRequest& pending = known->second;
-    if (!state.zone_routing.assign(state, pending) ||
-        cannot_meet_deadline(state, group, pending, writes_ahead)) {
-      give_up(state, pending);
+    if (!state.zone_routing.assign(state, pending)) {
+      give_up(state, pending, GiveUpReason::kBeyondPlan);
+      continue;
+    }
+    if (cannot_meet_deadline(state, group, pending, writes_ahead)) {
+      give_up(state, pending, GiveUpReason::kCannotBeInTime);
       continue;
     }
     admitted.push_back(&pending);
--- a/src/routing/decision_facade.cpp
+++ b/src/routing/decision_facade.cpp
@@ -68,6 +68,34 @@
   return router::Condition::kGone;
 }
 
+std::string_view describe(router::SendReason reason) {
+  switch (reason) {
+    case router::SendReason::kKnownPrimary:
+      return "it is the primary";
+    case router::SendReason::kDrainingPrimary:
+      return "it is the primary, and drains within its grace";
+    case router::SendReason::kPrimaryTrial:
+      return "no primary is known, and it may be it";
+    case router::SendReason::kReplica:
+      return "a replica of least cost";
+    case router::SendReason::kReadAtPrimary:
+      return "the primary, as no replica is fresh enough in time";
+  }
+  return "";
+}
+
+std::string_view describe(router::GiveUpReason reason) {
+  switch (reason) {
+    case router::GiveUpReason::kUnknownGroup:
+      return "no server of its group is known";
+    case router::GiveUpReason::kBeyondPlan:
+      return "beyond the shares of the zones";
+    case router::GiveUpReason::kCannotBeInTime:
+      return "it cannot be answered in time";
+  }
+  return "";
+}
+
 router::ListKind kind_of(const discovery::EndpointListUpdate& list, bool cached) {
   if (cached) return router::ListKind::kCached;
   return list.reset ? router::ListKind::kFull : router::ListKind::kDelta;
@@ -299,6 +327,7 @@
     decision.server = servers_[send->member].name;
     decision.timeout = send->timeout;
     decision.start_within = send->start_within;
+    decision.reason = describe(send->reason);
   } else if (auto* cancel = std::get_if<router::Cancel>(&action)) {
     decision.kind = Decision::Kind::kCancel;
     decision.request = cancel->id;
@@ -307,10 +336,12 @@
     decision.kind = Decision::Kind::kReject;
     decision.request = reject->id;
     decision.retry_after = reject->retry_after;
+    decision.reason = describe(reject->reason);
     attempts_.erase(reject->id);
   } else if (auto* fail = std::get_if<router::Fail>(&action)) {
     decision.kind = Decision::Kind::kFail;
     decision.request = fail->id;
+    decision.reason = describe(fail->reason);
     attempts_.erase(fail->id);
   } else if (auto* probe = std::get_if<router::Probe>(&action)) {
     decision.kind = Decision::Kind::kProbe;
--- a/src/routing/decision_facade.h
+++ b/src/routing/decision_facade.h
@@ -86,7 +86,8 @@
   std::string server;                   // kSend, kProbe
   Micros timeout{0};                    // kSend: how long this attempt may take
   Micros start_within = Micros::max();  // kSend: the attempt is not made where it cannot begin by then
-  Micros retry_after{0};                // kRefuse; 0: no guidance
+  Micros retry_after{0};                // kReject; 0: no guidance
+  std::string_view reason = "";         // kSend, kReject, kFail: in words, for the log; a literal
   // Where it was made in another thread: when, and after how many changes of the list; and whether it comes
   // too late to be carried out, so that it goes back as never sent.
   Micros decided_at{0};
