--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -145,7 +145,8 @@
 
 int serve_with_workers(const Told& told, Logger& logger, const net::Log& log, bool* has_started) {
   auto& own = told.own.workers;
-  workers::WorkerPoolConfig config{told.config.settings, told.config.seed, options_of(told.config, told.own), own};
+  workers::WorkerPoolConfig config{told.config.settings, told.config.seed, options_of(told.config, told.own),
+                                   own};
   net::Loop control;
   Operations operations(control, told.config, told.environment, log);
   operations.prepare(&config.proxy);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -49,7 +49,7 @@
   std::function<discovery::EndpointListUpdate(discovery::EndpointListUpdate)> overlay =
       [](discovery::EndpointListUpdate update) { return update; };
   std::size_t reserved_descriptors = 0;  // kept back for the operators' address
-  bool logs_decisions = false;           // each attempt, rejection and failure with its reason, as debug lines
+  bool logs_decisions = false;  // each attempt, rejection and failure with its reason, as debug lines
   // False: lists are given by list(), until watch_discovery() says that nobody gives them any more.
   bool watches = true;
 };
--- a/src/request_router/admission.cpp
+++ b/src/request_router/admission.cpp
@@ -75,7 +75,9 @@
   PendingRequest& added = state.pending.emplace(request.id, std::move(pending)).first->second;
   auto group = state.groups.find(request.group);
   if (group == state.groups.end()) {
-    give_up(state, added, GiveUpReason::kUnknownGroup);  // clients may name any number: nothing is kept for an unknown group
+    give_up(
+        state, added,
+        GiveUpReason::kUnknownGroup);  // clients may name any number: nothing is kept for an unknown group
     return;
   }
   group->second.postponed.push_back(request.id);
--- /dev/null
+++ b/tests/upgrade/cordon_test.cpp
@@ -0,0 +1,176 @@
+// Servers that operators or discovery take out, over replacements of the process, on real processes.
+#include <csignal>
+#include <filesystem>
+#include <thread>
+
+#include "upgrade/node.h"
+
+namespace database_proxy::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kPrimary = "s1-1", kReplica = "s1-2";
+
+std::string write_of_node(int number) {
+  return fmt::format(
+      "INSERT INTO kv (name, content) VALUES ('k1', '\\x9f') RETURNING content "
+      "/* id=w{},c=book,d=1000,k={:x},cluster=1 */",
+      number, number + 1);
+}
+
+std::string own_read_of_node(int number) {
+  return fmt::format("SELECT content FROM kv WHERE name = 'k1' /* id=o{},c=own-view,d=1000,cluster=1 */",
+                     number);
+}
+
+std::uint64_t requests_at(Node& node, const std::string& server) {
+  return node.servers.figures()[server].requests;
+}
+
+// Clients that write, or read, for a while; what came to `server` meanwhile.
+std::uint64_t requests_under_load(Node& node, const std::string& server, double writes,
+                                  milliseconds length = milliseconds(1500)) {
+  static int loads = 0;
+  auto options = node.load(length);
+  options.rate = 150;
+  options.book = writes;
+  options.own_view = 0;
+  options.wait_ms = 500;
+  options.retry = false;
+  options.prefix = fmt::format("load{}c", ++loads);
+  auto before = requests_at(node, server);
+  testbench::run_load(options);
+  return requests_at(node, server) - before;
+}
+
+std::unique_ptr<ProcessUnderTest> start_healthy(Node& node, int workers = 1) {
+  auto options = node.options();
+  if (workers > 1) options.operator_file = {{"workers", {{"count", workers}}}};
+  auto process = node.start(options);
+  REQUIRE(becomes_healthy(*process));
+  return process;
+}
+
+void end(ProcessUnderTest& process, int signal) {
+  process.signal(signal);
+  process.wait();
+}
+
+constexpr auto kGrace = milliseconds(1100);  // from a call on, and 50 ms more for the sockets
+
+void cordon_primary(ProcessUnderTest& process) {
+  REQUIRE(process.operator_call("cordon " + kPrimary, kCallTimeout).starts_with("YES"));
+  std::this_thread::sleep_for(kGrace);
+}
+
+}  // namespace
+
+TEST_CASE("cordon: a successor gives a primary that was cordoned before its start no new grace") {
+  auto workers = GENERATE(1, 2);
+  auto signal = GENERATE(SIGKILL, SIGTERM);
+  Node node;
+  auto first = start_healthy(node, workers);
+  cordon_primary(*first);
+  std::unique_ptr<ProcessUnderTest> second;
+  if (signal == SIGTERM) second = start_healthy(node, workers);
+  end(*first, signal);
+  if (!second) second = start_healthy(node, workers);
+  CHECK(requests_under_load(node, kPrimary, 1) == 0);
+  CHECK_THAT(second->log(), Catch::Contains("server s1-1 is cordoned by an operator, as process"));
+}
+
+TEST_CASE("drain: a successor with an older list gives a server that its predecessor was told of no grace") {
+  auto what = GENERATE(std::string("drain"), std::string("remove"));
+  Node node;
+  auto known = node.options().known;
+  auto first = start_healthy(node);
+  node.servers.steer({{"do", what}, {"server", kPrimary}});
+  REQUIRE(soon([&] { return first->log().find("list version") != std::string::npos; }));
+  std::this_thread::sleep_for(kGrace);
+  auto options = node.options();
+  options.known = known;
+  SECTION("discovery answers") {}
+  SECTION("discovery is silent") { node.servers.steer({{"do", "discovery"}, {"mute", true}}); }
+  auto second = node.start(options);
+  REQUIRE(becomes_healthy(*second));
+  end(*first, SIGKILL);
+  CHECK(requests_under_load(node, kPrimary, 1) == 0);
+}
+
+TEST_CASE("cordon: a process that starts after the last one has ended keeps it") {
+  auto signal = GENERATE(SIGKILL, SIGTERM);
+  Node node;
+  SECTION("with the shared folder") {}
+  SECTION("without it") { std::filesystem::remove(node.shared_folder()); }
+  auto first = start_healthy(node);
+  cordon_primary(*first);
+  end(*first, signal);
+  auto second = start_healthy(node);
+  CHECK(requests_under_load(node, kPrimary, 1, milliseconds(500)) == 0);
+}
+
+TEST_CASE("cordon: the answer YES holds at a successor though the shared folder is missing") {
+  Node node;
+  std::filesystem::remove(node.shared_folder());
+  auto first = start_healthy(node);
+  cordon_primary(*first);
+  auto second = start_healthy(node);
+  end(*first, SIGTERM);
+  CHECK(requests_under_load(node, kPrimary, 1, milliseconds(500)) == 0);
+}
+
+TEST_CASE("cordon: a primary that is put back after an upgrade serves writes at once") {
+  Node node;
+  auto first = start_healthy(node);
+  CHECK(requests_under_load(node, kPrimary, 0.3, milliseconds(500)) > 0);
+  REQUIRE(first->operator_call("cordon " + kPrimary, kCallTimeout).starts_with("YES"));
+  auto second = start_healthy(node);
+  end(*first, SIGTERM);
+  requests_under_load(node, kReplica, 0.3, milliseconds(1000));
+  REQUIRE(second->operator_call("uncordon " + kPrimary, kCallTimeout).starts_with("YES"));
+  INFO(second->log());
+  CHECK(requests_under_load(node, kPrimary, 1, milliseconds(1000)) > 0);
+}
+
+TEST_CASE("cordon: one that was lifted while its server was not listed does not come back") {
+  Node node;
+  auto first = start_healthy(node);
+  REQUIRE(first->operator_call("cordon " + kReplica, kCallTimeout).starts_with("YES"));
+  auto second = start_healthy(node);
+  // It goes on as a stopped process: its record says cordoned until the end.
+  first->signal(SIGSTOP);
+  node.servers.steer({{"do", "remove"}, {"server", kReplica}});
+  REQUIRE(second->operator_call("uncordon " + kReplica, kCallTimeout).starts_with("YES"));
+  node.servers.steer({{"do", "up"}, {"server", "s1-3"}});  // a list on which marks are looked through
+  node.servers.steer({{"do", "up"}, {"server", kReplica}});
+  CHECK(requests_under_load(node, kReplica, 0, milliseconds(1000)) > 0);
+}
+
+TEST_CASE("upgrade: a session's read at the successor sees what it wrote at the predecessor") {
+  FakeServersOptions sets;
+  sets.model.lag = testbench::Micros(8'000'000);
+  sets.model.check_age = false;
+  Node node(sets);
+  auto start = [&] {
+    auto options = node.options();
+    options.settings = {{"FamilyInfo", {{"Behind", "off"}, {"WriteMarks", "router"}}}};
+    auto process = node.start(options);
+    REQUIRE(becomes_healthy(*process));
+    return process;
+  };
+  auto replica_requests = [&] { return requests_at(node, kReplica) + requests_at(node, "s1-3"); };
+  auto first = start();
+  {
+    Client client(node.port());
+    REQUIRE(client.query(write_of_node(1)).row);
+  }
+  auto second = start();
+  end(*first, SIGTERM);
+  auto before = replica_requests();
+  Client client(node.port());
+  for (int i = 0; i < 20; ++i) CHECK(client.query(own_read_of_node(i)).row);
+  CHECK(replica_requests() == before);
+}
+
+}  // namespace database_proxy::test
