A grace counts from the first notice, at whatever process of the proxy

What callers saw: keyed writes at a primary that operators had taken out 1.9 to 4.1 s before, in the first 0.52 s of a second process. Cause: the list entry of a cordoned server said draining, and not since when; the decision module gave a draining primary half of the drain grace from the moment at which it was told itself. Evidence: 38 writes at the primary after an upgrade and after a kill, with 1 and 2 workers, none later than 0.5 s. Change: endpoints and list entries carry when the condition was first notified (a cordon: the time of the call); of two notices the earlier one counts, also for a member that was forgotten and returns.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -135,6 +135,8 @@
   bool primary = false;
   double weight = 1;
   Micros started_at{0};  // 0: long past
+  // Draining or gone: when this was first notified, to whatever process of the proxy; empty: with this list.
+  std::optional<Micros> notified_at = {};
 };
 // A member list has come, or the call for it failed.
 struct MemberList {
--- a/src/discovery/endpoint_list_codec.h
+++ b/src/discovery/endpoint_list_codec.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,9 @@
   std::int64_t started_at_ms = 0;  // Unix milliseconds; 0: long ago
   // When operators last put it back, on the machine's monotonic clock; 0: never. Discovery does not tell it.
   std::chrono::microseconds reinstated_at{0};
+  // Draining or removed: when a process of this proxy was first notified, on the same clock; empty: with this
+  // update. Discovery does not tell it.
+  std::optional<std::chrono::microseconds> notified_at = {};
 };
 
 // A list, or the changes since the one that the receiver has.
--- a/src/endpoint_list/cordons.cpp
+++ b/src/endpoint_list/cordons.cpp
@@ -16,8 +16,10 @@
 Endpoint Cordons::overlaid(Endpoint endpoint) const {
   auto found = marks_.find(endpoint.id);
   if (found == marks_.end()) return endpoint;
-  if (found->second.is_cordoned && endpoint.lifecycle == Lifecycle::kUp)
-    endpoint.lifecycle = Lifecycle::kDraining;
+  if (found->second.is_cordoned) {
+    if (endpoint.lifecycle == Lifecycle::kUp) endpoint.lifecycle = Lifecycle::kDraining;
+    endpoint.notified_at = found->second.changed_at;
+  }
   // While it was out it may have been restarted at any moment up to the last.
   if (!found->second.is_cordoned) endpoint.reinstated_at = found->second.changed_at;
   return endpoint;
--- a/src/request_router/member_state.cpp
+++ b/src/request_router/member_state.cpp
@@ -33,13 +33,14 @@
   member.started_at = started_at;
 }
 
-void record_condition(RouterState& state, Member& member, Condition condition) {
+// `notified_at`: of a condition other than ready. Of two notices of one condition the earlier one counts.
+void record_condition(RouterState& state, Member& member, Condition condition, Micros notified_at) {
   bool was_draining = condition != Condition::kReady && member.observed_draining;
   member.observed_draining = condition == Condition::kDraining || was_draining;
   if (condition == Condition::kReady)
     member.notified_at = kNever;
-  else if (member.notified_at == kNever)
-    member.notified_at = state.now;
+  else if (member.notified_at == kNever || notified_at < member.notified_at)
+    member.notified_at = notified_at;
   member.condition = condition;
   state.request_decision(member);
 }
@@ -83,11 +84,12 @@
     member.zone = entry.zone;
     member.same_zone = entry.zone == state.settings.zone;
     record_start(member, entry.started_at);
-    record_condition(state, member, entry.condition);
+    record_condition(state, member, entry.condition,
+                     std::min(entry.notified_at.value_or(state.now), state.now));
   }
   if (list.kind != ListKind::kDelta)
     for (auto& [id, member] : state.members)
-      if (!named.contains(id)) record_condition(state, member, Condition::kGone);
+      if (!named.contains(id)) record_condition(state, member, Condition::kGone, state.now);
   forget_gone_members(state);
 }
 
--- a/src/request_router/member_state.h
+++ b/src/request_router/member_state.h
@@ -41,7 +41,7 @@
   bool same_zone = true;  // as this router
   Condition condition = Condition::kReady;
   bool observed_draining = false;  // the list has said draining since it last said ready
-  Micros notified_at = kNever;     // when the list first said draining or gone
+  Micros notified_at = kNever;     // when draining or gone was first notified
   Micros started_at{0};            // when its process started, from the list; 0: long past
   double preference_order = 0;     // 0 to 1: this router's own order among equal members
   bool is_watched = false;         // listed in RouterState::watched_members
--- a/src/routing/decision_facade.cpp
+++ b/src/routing/decision_facade.cpp
@@ -137,6 +137,7 @@
   entry.zone = endpoint.zone;
   entry.condition = condition_of(endpoint.lifecycle);
   entry.weight = endpoint.weight;
+  entry.notified_at = endpoint.notified_at;
   // 0 means long ago; a true start is kept above it even where this machine booted later.
   if (endpoint.started_at_ms > 0)
     entry.started_at = std::max(kLeastTime, clock_.start(endpoint.started_at_ms, now));
