A server that one process was told to leave is out at the others too, without a new grace

What callers saw: two writes at a draining primary 2.0 s after the notice, in a successor's first half second. Cause: processes on one socket shared cordons only. A successor started from an older list and, while discovery was silent, went on using servers that its predecessor had been told of for long; what its first lists told counted as new. Change: a process's record holds the generation of its list and the servers that it may use; a process whose list is older treats all others as out. What the first list or a watch that was opened anew tells gets no grace, since it may have been told at any time before: a grace that is too short is safe. Lists of two discovery services are not compared.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -88,7 +88,9 @@
 void Operations::prepare(proxy::ProxyOptions* options) {
   options->inherited_listener = inherited_listener_;
   options->overlay = [this](discovery::EndpointListUpdate update) {
-    return cordons_.apply_to(std::move(update));
+    auto shown = overlay_.apply_to(std::move(update), net::monotonic_now());
+    if (exchange_) exchange_->on_change();
+    return shown;
   };
   options->reserved_descriptors = address_.empty() ? 0 : operator_endpoint::kListenerDescriptors;
 }
@@ -108,7 +110,11 @@
     return;
   }
   handover::ProcessExchange::Host host;
-  host.cordons = [this] { return cordons_.marks(); };
+  host.cordons = [this] { return overlay_.cordons(); };
+  host.endpoints = [this] { return overlay_.view(); };
+  host.add_endpoints = [this](const endpoint_list::EndpointListView& view) {
+    if (auto change = overlay_.add_view(view)) process_.apply_change(std::move(*change));
+  };
   host.merge_cordons = [this](const endpoint_list::CordonMarks& marks, pid_t from) {
     merge_cordons(marks, from);
   };
@@ -123,7 +129,7 @@
 }
 
 void Operations::merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from) {
-  auto merge = cordons_.merge(marks);
+  auto merge = overlay_.merge_cordons(marks);
   if (!merge) return;
   auto now = net::monotonic_now();
   for (auto& [server, mark] : merge->taken_over)
@@ -140,10 +146,10 @@
 
 void Operations::set_cordon(const std::string& server, bool is_cordoned,
                             const operator_endpoint::OperatorListener::Answer& answer) {
-  using Result = endpoint_list::Cordons::Result;
+  using Result = endpoint_list::EndpointOverlay::Result;
   using operator_endpoint::no, operator_endpoint::yes;
   discovery::EndpointListUpdate change;
-  switch (cordons_.set(server, is_cordoned, net::monotonic_now(), &change)) {
+  switch (overlay_.set_cordon(server, is_cordoned, net::monotonic_now(), &change)) {
     case Result::kUnknownServer:
       return answer(no(fmt::format("no data server {} is known", server)));
     case Result::kTooMany:
@@ -153,8 +159,8 @@
     case Result::kDone:
       break;
   }
-  if (exchange_) exchange_->on_cordons_changed();
-  bool is_last = is_cordoned && cordons_.is_last_of_group(server);
+  if (exchange_) exchange_->on_change();
+  bool is_last = is_cordoned && overlay_.is_last_of_group(server);
   log_(is_last ? net::Level::kWarning : net::Level::kInfo,
        fmt::format("server {} is {} by an operator{}", server, is_cordoned ? "cordoned" : "put back",
                    is_last ? "; no other server of its group takes work" : ""));
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "app/config.h"
-#include "endpoint_list/cordons.h"
+#include "endpoint_list/endpoint_overlay.h"
 #include "handover/listener_owner.h"
 #include "handover/process_exchange.h"
 #include "operator_endpoint/operator_listener.h"
@@ -70,7 +70,7 @@
   std::optional<handover::ListenerOwner> owner_;  // where the socket is inherited
   net::Loop::TimerId owner_timer_ = net::Loop::kNoTimer;
   Process process_;
-  endpoint_list::Cordons cordons_;
+  endpoint_list::EndpointOverlay overlay_;
   std::optional<handover::ProcessExchange> exchange_;
   std::optional<operator_endpoint::OperatorListener> listener_;
 };
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -29,6 +29,10 @@
 // bodies over 1 MiB, to which the framing of chunks adds.
 constexpr std::size_t kMaxBufferedResponse = 2 * 1024 * 1024;
 
+// A watch goes on where the next call follows the last answer within this; else changes in between may be
+// old.
+constexpr net::Micros kContinuedWithin = 200ms;
+
 constexpr int kHttpOk = 200, kHttpTooManyRequests = 429, kHttpServerErrors = 500;
 
 std::string error_text(int error) { return std::generic_category().message(error); }
@@ -80,6 +84,7 @@
                                : fmt::format("/catalog/members?after={}&wait_ms={}", generation_,
                                              PollingSchedule::kWatchWait / 1ms);
   auto request = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, host_);
+  is_continued_ = answered_at_ && net::monotonic_now() - *answered_at_ < kContinuedWithin;
   loop_.cancel(&timer_);
   auto timeout = needs_full_list_ ? schedule_.list_timeout() : schedule_.watch_timeout();
   timer_ = loop_.at(loop_.now() + timeout, [this] { on_failure("no answer in time"); });
@@ -131,6 +136,9 @@
 bool DiscoveryWatch::apply_update(const std::string& body) try {
   auto update = parse_endpoint_list(body);
   update.reset = update.reset || needs_full_list_;
+  update.source = is_continued_ ? UpdateSource::kOpenWatch : UpdateSource::kReopenedWatch;
+  update.service = host_;
+  answered_at_ = loop_.now();
   generation_ = update.generation;
   needs_full_list_ = false;
   if (failing_) log_(net::Level::kInfo, "discovery answers again");
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -59,9 +59,11 @@
   net::OutBuffer out_;
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;  // the timeout of the call, or the next attempt
   PollingSchedule schedule_;
-  bool needs_full_list_;    // the next call requests it
-  bool connected_ = false;  // the connection is established
-  bool failing_ = false;    // the last call failed, which was logged
+  bool needs_full_list_;                    // the next call requests it
+  bool connected_ = false;                  // the connection is established
+  std::optional<net::Micros> answered_at_;  // the last call
+  bool is_continued_ = false;               // the call that is out followed the last answer at once
+  bool failing_ = false;                    // the last call failed, which was logged
 };
 
 // The class's earlier name: src/group still uses it.
--- a/src/discovery/endpoint_list_codec.h
+++ b/src/discovery/endpoint_list_codec.h
@@ -28,10 +28,19 @@
   std::optional<std::chrono::microseconds> notified_at = {};
 };
 
+// Where an update comes from, which tells how old its changes may be.
+enum class UpdateSource {
+  kConfiguration,  // what was known before this process started
+  kReopenedWatch,  // discovery, asked anew: its changes may have been told at any time before
+  kOpenWatch       // discovery, over a watch that was open all the time: its changes are new
+};
+
 // A list, or the changes since the one that the receiver has.
 struct EndpointListUpdate {
   std::int64_t generation = 0;  // by the count of the discovery service
   bool reset = false;           // the full list, not only what changed
+  UpdateSource source = UpdateSource::kConfiguration;
+  std::string service;  // the address of the discovery service whose count `generation` is; empty: not known
   std::vector<Endpoint> members;
 };
 
--- a/src/handover/process_exchange.cpp
+++ b/src/handover/process_exchange.cpp
@@ -76,6 +76,7 @@
   own_.written_at = net::monotonic_now();
   own_.descriptors = host_.descriptors();
   own_.cordons = host_.cordons();
+  own_.endpoints = host_.endpoints();
   is_unpublished_ = !folder_.write(own_);
 }
 
@@ -94,6 +95,7 @@
   auto now = net::monotonic_now();
   std::erase_if(marks, [now](auto& mark) { return mark.second.changed_at > now; });
   host_.merge_cordons(marks, record.process.pid);
+  host_.add_endpoints(record.endpoints);
 }
 
 void ProcessExchange::look() {
--- a/src/handover/process_exchange.h
+++ b/src/handover/process_exchange.h
@@ -27,7 +27,9 @@
   struct Host {
     std::function<endpoint_list::CordonMarks()> cordons;
     std::function<void(const endpoint_list::CordonMarks&, pid_t from)> merge_cordons;
-    std::function<std::size_t()> descriptors;  // that this process holds
+    std::function<endpoint_list::EndpointListView()> endpoints;
+    std::function<void(const endpoint_list::EndpointListView&)> add_endpoints;  // of another process
+    std::function<std::size_t()> descriptors;                                   // that this process holds
     std::function<void(const OtherProcesses&)> on_others_changed;
     std::function<void(const ForwardedCancel&)> cancel;
   };
@@ -38,8 +40,8 @@
   ProcessExchange& operator=(const ProcessExchange&) = delete;
 
   void set_stage(ProcessStage stage);
-  // The cordons of this process have changed.
-  void on_cordons_changed() { publish(); }
+  // The cordons or the endpoint list of this process have changed.
+  void on_change() { publish(); }
   // A cancel request names a session that this process does not have.
   void forward_cancel(std::uint32_t session_number, std::uint32_t secret);
   // Reads what the others have written.
--- a/src/handover/process_record.cpp
+++ b/src/handover/process_record.cpp
@@ -37,6 +37,14 @@
   return value;
 }
 
+endpoint_list::EndpointListView view_from(const json& body) {
+  endpoint_list::EndpointListView view;
+  view.service = body.value("discovery", view.service);
+  view.generation = body.value("generation", view.generation);
+  view.usable = body.value("usable", view.usable);
+  return view;
+}
+
 ProcessRecord record_from(const json& body) {
   ProcessRecord record;
   record.process.pid = body.at("pid").get<pid_t>();
@@ -46,6 +54,7 @@
   record.descriptors = body.at("descriptors").get<std::size_t>();
   for (auto& [id, mark] : body.at("cordons").items())
     record.cordons[id] = {micros_from(mark.at("changed_at")), mark.at("cordoned").get<bool>()};
+  record.endpoints = view_from(body);  // absent in records of earlier versions
   for (auto& cancel : body.at("cancels"))
     record.cancels.push_back({micros_from(cancel.at(0)), cancel.at(1), cancel.at(2)});
   return record;
@@ -65,6 +74,9 @@
                {"stage", static_cast<int>(record.stage)},
                {"descriptors", record.descriptors},
                {"cordons", marks_to_json(record.cordons)},
+               {"discovery", record.endpoints.service},
+               {"generation", record.endpoints.generation},
+               {"usable", record.endpoints.usable},
                {"cancels", cancels_to_json(record.cancels)}};
   auto text = body.dump(-1, ' ', false, json::error_handler_t::replace);
   return title_of(text) + text;
--- a/src/handover/process_record.h
+++ b/src/handover/process_record.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-#include "endpoint_list/cordons.h"
+#include "endpoint_list/cordon_marks.h"
+#include "endpoint_list/endpoint_list_view.h"
 #include "handover/process_identity.h"
 
 namespace database_proxy::handover {
@@ -32,6 +33,7 @@
   ProcessStage stage = ProcessStage::kStarting;
   std::size_t descriptors = 0;
   endpoint_list::CordonMarks cordons;
+  endpoint_list::EndpointListView endpoints;
   std::vector<ForwardedCancel> cancels;
 };
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -89,6 +89,7 @@
   if (update.generation < generation_ && !is_restart) return;
   has_discovery_answered_ = true;
   generation_ = update.generation;
+  update.source = discovery::UpdateSource::kOpenWatch;  // the group has watched for this process
   dispatcher_.list(options_.overlay(std::move(update)));
 }
 
