Cordons are kept with the listening socket: YES holds whatever becomes of the folder and the process

What callers saw: after YES, a cordon was gone at the successor where TMPDIR was missing, after a kill and more than 60 s of calm, and after SIGTERM without a successor. Cause: cordons went over by files alone; stale records were removed before they were read, by their last change; the last process removed its own. Change: the listening socket keeps the cordons and the newest list, as constants of a filter that lets every packet pass: the kernel replaces it as a whole, no file system can fail it, it lasts as long as the socket and goes with it. The folder keeps them as well; a record with cordons is stale after 7 days, and is removed at the end only where the socket holds it. YES waits up to 0.75 s until one of both holds it; else the answer is NO and the command is taken back.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -20,6 +20,9 @@
 
 // A process that serves takes over the socket of one that has ended within this.
 constexpr net::Micros kOwnerCheckInterval = 100ms;
+// The answer to a command is owed within a second: so often and so long its keeping is tried before.
+constexpr int kKeepAttempts = 15;
+constexpr net::Micros kKeepRetry = 50ms;
 // The standard streams are no listening sockets.
 constexpr int kFirstInheritedDescriptor = 3;
 
@@ -88,8 +91,9 @@
 void Operations::prepare(proxy::ProxyOptions* options) {
   options->inherited_listener = inherited_listener_;
   options->overlay = [this](discovery::EndpointListUpdate update) {
+    if (exchange_) exchange_->learn_from_socket();
     auto shown = overlay_.apply_to(std::move(update), net::monotonic_now());
-    if (exchange_) exchange_->on_change();
+    if (exchange_) exchange_->publish();
     return shown;
   };
   options->reserved_descriptors = address_.empty() ? 0 : operator_endpoint::kListenerDescriptors;
@@ -105,19 +109,14 @@
 
 // Only with an inherited socket can another process serve beside this one.
 void Operations::start_exchange() {
-  if (shared_folder_.empty()) {
-    log_(net::Level::kWarning, "TMPDIR is not set: cordons do not go over to a successor");
-    return;
-  }
+  if (shared_folder_.empty())
+    log_(net::Level::kWarning, "TMPDIR is not set: a successor learns nothing of cancel requests and limits");
   handover::ProcessExchange::Host host;
   host.cordons = [this] { return overlay_.cordons(); };
   host.endpoints = [this] { return overlay_.view(); };
-  host.add_endpoints = [this](const endpoint_list::EndpointListView& view) {
-    if (auto change = overlay_.add_view(view)) process_.apply_change(std::move(*change));
-  };
-  host.merge_cordons = [this](const endpoint_list::CordonMarks& marks, pid_t from) {
-    merge_cordons(marks, from);
-  };
+  host.merge_cordons = [this](auto& marks, pid_t from) { return merge_cordons(marks, from); };
+  host.endpoints = [this] { return overlay_.view(); };
+  host.add_endpoints = [this](auto& view) { return add_endpoints(view); };
   host.descriptors = process_.descriptors_held;
   host.on_others_changed = [this](const handover::OtherProcesses& others) {
     process_.share_limits_with({others.count, others.descriptors});
@@ -128,9 +127,9 @@
   exchange_.emplace(loop_, shared_folder_, inherited_listener_, std::move(host), log_);
 }
 
-void Operations::merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from) {
+bool Operations::merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from) {
   auto merge = overlay_.merge_cordons(marks);
-  if (!merge) return;
+  if (!merge) return false;
   auto now = net::monotonic_now();
   for (auto& [server, mark] : merge->taken_over)
     log_(net::Level::kInfo,
@@ -138,6 +137,16 @@
                      mark.is_cordoned ? "is cordoned by an operator" : "was put back by an operator", from,
                      std::chrono::duration<double>(now - mark.changed_at).count()));
   process_.apply_change(std::move(merge->change));
+  return true;
+}
+
+bool Operations::add_endpoints(const endpoint_list::EndpointListView& view) {
+  auto change = overlay_.add_view(view);
+  if (!change) return false;
+  log_(net::Level::kInfo, fmt::format("another process has list version {}: {} servers are out by it",
+                                      view.generation, change->members.size()));
+  process_.apply_change(std::move(*change));
+  return true;
 }
 
 void Operations::forward_cancel(std::uint32_t number, std::uint32_t secret) {
@@ -147,25 +156,56 @@
 void Operations::set_cordon(const std::string& server, bool is_cordoned,
                             const operator_endpoint::OperatorListener::Answer& answer) {
   using Result = endpoint_list::EndpointOverlay::Result;
-  using operator_endpoint::no, operator_endpoint::yes;
+  CordonCommand command{server, is_cordoned, std::nullopt, "", answer};
+  if (exchange_) exchange_->learn_from_socket();
   discovery::EndpointListUpdate change;
   switch (overlay_.set_cordon(server, is_cordoned, net::monotonic_now(), &change)) {
     case Result::kUnknownServer:
-      return answer(no(fmt::format("no data server {} is known", server)));
+      return answer(operator_endpoint::no(fmt::format("no data server {} is known", server)));
     case Result::kTooMany:
-      return answer(no(fmt::format("{} data servers are cordoned already", endpoint_list::kMostCordonMarks)));
+      return answer(operator_endpoint::no(
+          fmt::format("{} data servers are cordoned already", endpoint_list::kMostCordonMarks)));
     case Result::kUnchanged:
-      return answer(yes(is_cordoned ? "it was cordoned already" : "it was not cordoned"));
+      command.remark = is_cordoned ? "it was cordoned already" : "it was not cordoned";
+      return answer_when_kept(command, kKeepAttempts);
     case Result::kDone:
       break;
   }
-  if (exchange_) exchange_->on_change();
+  command.changed_at = overlay_.cordons().at(server).changed_at;
   bool is_last = is_cordoned && overlay_.is_last_of_group(server);
+  if (is_last) command.remark = "warning: no other data server of its group takes work";
   log_(is_last ? net::Level::kWarning : net::Level::kInfo,
        fmt::format("server {} is {} by an operator{}", server, is_cordoned ? "cordoned" : "put back",
                    is_last ? "; no other server of its group takes work" : ""));
   process_.apply_change(std::move(change));
-  answer(yes(is_last ? "warning: no other data server of its group takes work" : ""));
+  answer_when_kept(command, kKeepAttempts);
+}
+
+// YES is a promise for every later process: it is not given before one is sure to know.
+void Operations::answer_when_kept(const CordonCommand& command, int attempts) {
+  if (exchange_) exchange_->publish();
+  if (!exchange_ || exchange_->are_cordons_kept())
+    return command.answer(operator_endpoint::yes(command.remark));
+  if (attempts > 0) {
+    loop_.at(loop_.now() + kKeepRetry,
+             [this, command, attempts] { answer_when_kept(command, attempts - 1); });
+    return;
+  }
+  if (command.changed_at) take_back(command);
+  command.answer(operator_endpoint::no(
+      "it cannot be kept for later processes: neither the listening socket nor TMPDIR takes it"));
+}
+
+void Operations::take_back(const CordonCommand& command) {
+  auto mark = overlay_.cordons().find(command.server);
+  bool is_last_word = mark != overlay_.cordons().end() && mark->second.changed_at == *command.changed_at;
+  if (!is_last_word) return;
+  discovery::EndpointListUpdate change;
+  overlay_.set_cordon(command.server, !command.is_cordoned, net::monotonic_now(), &change);
+  log_(net::Level::kWarning, fmt::format("server {} is {} again: the command cannot be kept", command.server,
+                                         command.is_cordoned ? "put back" : "cordoned"));
+  process_.apply_change(std::move(change));
+  if (exchange_) exchange_->publish();
 }
 
 void Operations::handle(const OperatorCommand& command,
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -57,9 +57,20 @@
  private:
   void watch_owner();
   void start_exchange();
-  void merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from);
+  bool merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from);
+  bool add_endpoints(const endpoint_list::EndpointListView& view);
+  // A command whose answer waits until later processes will know of it.
+  struct CordonCommand {
+    std::string server;
+    bool is_cordoned = false;
+    std::optional<endpoint_list::Micros> changed_at;  // empty: it had been so before
+    std::string remark;                               // behind the word yes
+    operator_endpoint::OperatorListener::Answer answer;
+  };
   void set_cordon(const std::string& server, bool is_cordoned,
                   const operator_endpoint::OperatorListener::Answer& answer);
+  void answer_when_kept(const CordonCommand& command, int attempts);
+  void take_back(const CordonCommand& command);
   void handle(const operator_endpoint::OperatorCommand& command,
               const operator_endpoint::OperatorListener::Answer& answer);
 
--- a/src/endpoint_list/endpoint_overlay.cpp
+++ b/src/endpoint_list/endpoint_overlay.cpp
@@ -21,6 +21,20 @@
   return found != cordons_.end() && found->second.is_cordoned;
 }
 
+// A cordon that was lifted is remembered, since an older mark of another process would bring it back; the one
+// that was lifted first is forgotten when there is no other room.
+bool EndpointOverlay::has_room_for_cordon(const std::string& id) {
+  if (cordons_.contains(id) || cordons_.size() < kMostCordonMarks) return true;
+  auto oldest = cordons_.end();
+  for (auto mark = cordons_.begin(); mark != cordons_.end(); ++mark) {
+    if (mark->second.is_cordoned) continue;
+    if (oldest == cordons_.end() || mark->second.changed_at < oldest->second.changed_at) oldest = mark;
+  }
+  if (oldest == cordons_.end()) return false;
+  cordons_.erase(oldest);
+  return true;
+}
+
 bool EndpointOverlay::is_out_elsewhere(const std::string& id) const {
   return newest_ && !newest_->usable.contains(id);
 }
@@ -102,7 +116,7 @@
   bool is_known = listed_.contains(id) || was_cordoned;
   if (!is_known) return Result::kUnknownServer;
   if (was_cordoned == is_cordoned) return Result::kUnchanged;
-  if (!cordons_.contains(id) && cordons_.size() >= kMostCordonMarks) return Result::kTooMany;
+  if (!has_room_for_cordon(id)) return Result::kTooMany;
   auto& mark = cordons_[id];
   mark.changed_at = std::max(now, mark.changed_at + Micros(1));
   mark.is_cordoned = is_cordoned;
@@ -114,9 +128,8 @@
   Merge merge;
   for (auto& [id, mark] : marks) {
     auto known = cordons_.find(id);
-    bool is_later = known == cordons_.end() ? cordons_.size() < kMostCordonMarks
-                                            : known->second.changed_at < mark.changed_at;
-    if (!is_later) continue;
+    bool is_later = known == cordons_.end() || known->second.changed_at < mark.changed_at;
+    if (!is_later || !has_room_for_cordon(id)) continue;
     cordons_[id] = mark;
     merge.taken_over[id] = mark;
     add_change(id, &merge.change);
--- a/src/endpoint_list/endpoint_overlay.h
+++ b/src/endpoint_list/endpoint_overlay.h
@@ -50,6 +50,7 @@
     std::optional<Micros> notified_at;  // of its drain
   };
   bool is_cordoned(const std::string& id) const;
+  bool has_room_for_cordon(const std::string& id);
   bool is_out_elsewhere(const std::string& id) const;
   bool is_comparable(const EndpointListView& view) const;
   discovery::Endpoint overlaid(const std::string& id, const Listed& listed) const;
--- a/src/handover/process_exchange.cpp
+++ b/src/handover/process_exchange.cpp
@@ -38,19 +38,23 @@
                                  const net::Log& log)
     : loop_(loop),
       host_(std::move(host)),
-      folder_(folder, inode_of(listener), ProcessIdentity::own(), log),
+      socket_record_(listener, log),
       started_at_(net::monotonic_now()),
       stale_removed_at_(started_at_) {
   own_.process = ProcessIdentity::own();
-  folder_.remove_stale(started_at_);
+  if (!folder.empty()) folder_.emplace(folder, inode_of(listener), own_.process, log);
   look_regularly();  // cordons hold from the first decision on
+  remove_stale(started_at_);
 }
 
 // Where others run, the last marks may not have been read yet: they take them over and remove the record.
+// Where none runs, it stays only for cordons that the socket does not keep.
 ProcessExchange::~ProcessExchange() {
   loop_.cancel(&timer_);
-  if (is_unpublished_) folder_.write(own_);
-  if (others_.count == 0) folder_.remove_own();
+  if (!folder_) return;
+  if (!is_in_folder_) folder_->write(own_);
+  bool is_needed = others_.count > 0 || (!is_on_socket_ && !own_.cordons.empty());
+  if (!is_needed) folder_->remove_own();
 }
 
 void ProcessExchange::set_stage(ProcessStage stage) {
@@ -77,7 +81,13 @@
   own_.descriptors = host_.descriptors();
   own_.cordons = host_.cordons();
   own_.endpoints = host_.endpoints();
-  is_unpublished_ = !folder_.write(own_);
+  is_in_folder_ = folder_ && folder_->write(own_);
+  is_on_socket_ = socket_record_.keep(own_);
+}
+
+bool ProcessExchange::learn_from_socket() {
+  auto& record = socket_record_.read();
+  return record && record->process != own_.process && take_over(*record);
 }
 
 void ProcessExchange::carry_out_cancels(const ProcessRecord& record) {
@@ -90,19 +100,22 @@
 }
 
 // Times that are still to come are of another start of the machine.
-void ProcessExchange::take_over(const ProcessRecord& record) {
+bool ProcessExchange::take_over(const ProcessRecord& record) {
   auto marks = record.cordons;
   auto now = net::monotonic_now();
   std::erase_if(marks, [now](auto& mark) { return mark.second.changed_at > now; });
-  host_.merge_cordons(marks, record.process.pid);
-  host_.add_endpoints(record.endpoints);
+  bool has_learned = host_.merge_cordons(marks, record.process.pid);
+  bool is_of_this_start = record.written_at <= now;
+  return (is_of_this_start && host_.add_endpoints(record.endpoints)) || has_learned;
 }
 
 void ProcessExchange::look() {
   OtherProcesses others;
   std::vector<std::string> ended;
-  for (auto& [name, record] : folder_.read_others()) {
-    take_over(record);
+  static const std::map<std::string, ProcessRecord> kNoRecords;
+  bool has_news = learn_from_socket();
+  for (auto& [name, record] : folder_ ? folder_->read_others() : kNoRecords) {
+    has_news |= take_over(record);
     if (state_of(record.process) == ProcessState::kGone) {
       ended.push_back(name);
       continue;
@@ -113,21 +126,25 @@
   }
   bool has_changed = std::exchange(others_, others) != others;
   if (has_changed) host_.on_others_changed(others);
-  bool is_news = others.count > 0 && difference(host_.descriptors(), own_.descriptors) >= kDescriptorStep;
-  if (is_unpublished_ || !ended.empty() || has_changed || is_news) publish();
+  has_news |= others.count > 0 && difference(host_.descriptors(), own_.descriptors) >= kDescriptorStep;
+  is_on_socket_ = is_on_socket_ && socket_record_.is_kept();
+  bool is_published = is_on_socket_ && (is_in_folder_ || !folder_);
+  if (!is_published || !ended.empty() || has_changed || has_news) publish();
   // Their marks stand in this process's record by now.
-  if (is_unpublished_) return;
-  for (auto& name : ended) folder_.remove(name);
+  if (!are_cordons_kept()) return;
+  for (auto& name : ended) folder_->remove(name);
 }
 
 void ProcessExchange::look_regularly() {
   look();
   auto now = net::monotonic_now();
-  if (now - stale_removed_at_ > kStaleCheckInterval) {
-    stale_removed_at_ = now;
-    folder_.remove_stale(now);
-  }
+  if (now - stale_removed_at_ > kStaleCheckInterval) remove_stale(now);
   timer_ = loop_.at(loop_.now() + kLookInterval, [this] { look_regularly(); });
 }
 
+void ProcessExchange::remove_stale(Micros now) {
+  stale_removed_at_ = now;
+  if (folder_) folder_->remove_stale(now);
+}
+
 }  // namespace database_proxy::handover
--- a/src/handover/record_folder.cpp
+++ b/src/handover/record_folder.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kMostRecords = 64;
 // A successor of that process has taken its record over by then, if there is one.
 constexpr Micros kStaleAfter = 60s;
+// The same of a record with cordons, whose next process may start much later.
+constexpr Micros kStaleAfterWithCordons = 7 * 24h;
 constexpr mode_t kOwnerOnly = 0600;
 
 bool write_whole(int file, std::string_view text) {
@@ -71,9 +73,9 @@
   if (!is_written && file) unlink(unfinished.c_str());
   if (std::exchange(is_failing_, !is_written) == is_failing_) return is_written;
   if (is_failing_)
-    log_(net::Level::kWarning,
-         fmt::format("cannot write {}: {}; other processes do not learn of cordons until it can be written",
-                     target, net::message_of(error)));
+    log_(net::Level::kWarning, fmt::format("cannot write {}: {}; other processes learn of cancel requests "
+                                           "and limits only when it can be written",
+                                           target, net::message_of(error)));
   else
     log_(net::Level::kInfo, fmt::format("{} is written again", target));
   return is_written;
@@ -155,8 +157,11 @@
       continue;
     }
     if (state_of(record->process) != ProcessState::kGone) continue;
+    bool has_cordons = std::any_of(record->cordons.begin(), record->cordons.end(),
+                                   [](auto& mark) { return mark.second.is_cordoned; });
+    auto stale_after = has_cordons ? kStaleAfterWithCordons : kStaleAfter;
     // A time that is still to come is of another start of the machine.
-    bool is_old = record->written_at > now || now - record->written_at > kStaleAfter;
+    bool is_old = record->written_at > now || now - record->written_at > stale_after;
     if (is_old) remove(name);
   }
 }
--- /dev/null
+++ b/src/handover/socket_record.cpp
@@ -0,0 +1,69 @@
+#include "handover/socket_record.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net/system_errors.h"
+
+namespace database_proxy::handover {
+namespace {
+
+// What fits: without the list where that is too long, and then without the cordons that were lifted.
+ProcessRecord shortened(ProcessRecord record) {
+  record.cancels.clear();
+  record.descriptors = 0;
+  auto is_too_long = [&record] { return encode_record(record).size() > kLongestSocketNote; };
+  if (is_too_long()) record.endpoints = {};
+  if (is_too_long()) std::erase_if(record.cordons, [](auto& mark) { return !mark.second.is_cordoned; });
+  return record;
+}
+
+bool holds_cordons(const ProcessRecord& kept, const ProcessRecord& wanted) {
+  return std::all_of(wanted.cordons.begin(), wanted.cordons.end(), [&kept](auto& mark) {
+    auto found = kept.cordons.find(mark.first);
+    return found != kept.cordons.end() && found->second.changed_at >= mark.second.changed_at;
+  });
+}
+
+// A list that is older counts too where nobody has the newer one any more: the service has begun to count
+// anew.
+bool holds_endpoints(const ProcessRecord& kept, const ProcessRecord& wanted) {
+  if (kept.endpoints == wanted.endpoints || wanted.endpoints.generation == 0) return true;
+  bool is_newer = kept.endpoints.generation >= wanted.endpoints.generation;
+  return is_newer && state_of(kept.process) != ProcessState::kGone;
+}
+
+}  // namespace
+
+const std::optional<ProcessRecord>& SocketRecord::read() {
+  auto text = note_.read();
+  if (!text || *text == text_) return record_;
+  text_ = *text;
+  RecordError error = RecordError::kNone;
+  record_ = decode_record(text_, &error);
+  if (!record_)
+    log_(net::Level::kWarning,
+         fmt::format("the record that the listening socket keeps is passed over: {}", describe(error)));
+  return record_;
+}
+
+bool SocketRecord::is_kept() const {
+  return record_ && holds_cordons(*record_, kept_) && holds_endpoints(*record_, kept_);
+}
+
+bool SocketRecord::keep(const ProcessRecord& own) {
+  kept_ = shortened(own);
+  read();
+  if (is_kept()) return true;
+  int error = note_.write(encode_record(kept_));
+  if (error == 0) read();
+  if (std::exchange(is_failing_, error != 0) != is_failing_)
+    log_(is_failing_ ? net::Level::kWarning : net::Level::kInfo,
+         is_failing_ ? fmt::format("the listening socket keeps no record: {}", net::message_of(error))
+                     : std::string("the listening socket keeps a record again"));
+  return error == 0;
+}
+
+}  // namespace database_proxy::handover
--- a/tests/upgrade/cordon_test.cpp
+++ b/tests/upgrade/cordon_test.cpp
@@ -138,6 +138,7 @@
   auto first = start_healthy(node);
   REQUIRE(first->operator_call("cordon " + kReplica, kCallTimeout).starts_with("YES"));
   auto second = start_healthy(node);
+  REQUIRE(second->operator_call("cordon s1-3", kCallTimeout).starts_with("YES"));  // the only other replica
   // It goes on as a stopped process: its record says cordoned until the end.
   first->signal(SIGSTOP);
   node.servers.steer({{"do", "remove"}, {"server", kReplica}});
