Session reads after an upgrade see what was written through the process before

Cause: only the process that took the write knew of it. Change: a process on an inherited socket counts a session's last write as of now while another process takes requests, and as of that one's end after it; the router is told by share_sessions. Beside it, a run-time check: attempts at servers that are cordoned, drain or are gone, later than the grace after the first notice, are counted as broken invariants, with a test; probes are logged at level debug.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -279,6 +279,10 @@
   // `now` never falls from one call to the next. Every action takes effect at `now`, in order.
   std::vector<Action> handle(Micros now, const std::vector<Event>& events);
 
+  // Another process of the same proxy takes requests of the same sessions from now on, or did so until now. A
+  // session may have written through it at any moment of that time, and its reads must show that.
+  void share_sessions(Micros now, bool is_shared);
+
   std::size_t members() const;  // how many it knows, those that have gone a short time ago included
   double room(MemberId member)
       const;  // requests a second that it would send there beside those in flight (surplus capacity)
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -57,6 +57,7 @@
   options.memory = config.memory;
   options.pool = config.pool;
   options.known = config.known;
+  options.drain_grace = config.settings.drain_grace;
   net::Micros longest_deadline{0};
   for (auto& request_class : config.settings.classes)
     longest_deadline = std::max(longest_deadline, request_class.deadline);
--- a/src/app/group_runner.cpp
+++ b/src/app/group_runner.cpp
@@ -37,7 +37,7 @@
     on_result_({result.server, result.ok, result.duration, result.load_report});
   }
   proxy::ClientPort* client_of(routing::RequestId) override { return nullptr; }
-  void attempt_begins(routing::RequestId) override {}
+  void attempt_begins(routing::RequestId, const std::string&) override {}
 
   group::HealthCheckCallback on_result_;
   proxy::ServerPool pool_;
--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -64,6 +64,7 @@
     throw std::runtime_error(fmt::format("cannot listen on {}: {}", config.listen, e.what()));
   }
   owner_.emplace(inherited_listener_);
+  predecessor_ = owner_->other_owner();
 }
 
 Operations::~Operations() { loop_.cancel(&owner_timer_); }
@@ -78,6 +79,7 @@
 // The newest process that serves has claimed the socket last. Where that one has ended, this one does again.
 void Operations::watch_owner() {
   if (owner_->is_abandoned()) owner_->claim();
+  share_with_others();
   owner_timer_ = loop_.at(loop_.now() + kOwnerCheckInterval, [this] { watch_owner(); });
 }
 
@@ -119,12 +121,22 @@
   host.add_endpoints = [this](auto& view) { return add_endpoints(view); };
   host.descriptors = process_.descriptors_held;
   host.on_others_changed = [this](const handover::OtherProcesses& others) {
-    process_.share_limits_with({others.count, others.descriptors});
+    others_ = others;
+    share_with_others();
   };
   host.cancel = [this](const handover::ForwardedCancel& cancel) {
     process_.cancel(cancel.session_number, cancel.secret);
   };
+  // Whoever served the socket up to now may have taken writes of any session.
+  process_.share_limits_with({0, 0, true});
   exchange_.emplace(loop_, shared_folder_, inherited_listener_, std::move(host), log_);
+  share_with_others();
+}
+
+void Operations::share_with_others() {
+  if (predecessor_ > 0 && handover::state_of(predecessor_) == handover::ProcessState::kGone) predecessor_ = 0;
+  bool takes_requests = others_.count > 0 || predecessor_ > 0 || owner_->other_owner() > 0;
+  process_.share_limits_with({others_.count, others_.descriptors, takes_requests});
 }
 
 bool Operations::merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from) {
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -56,6 +56,7 @@
 
  private:
   void watch_owner();
+  void share_with_others();
   void start_exchange();
   bool merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from);
   bool add_endpoints(const endpoint_list::EndpointListView& view);
@@ -80,6 +81,8 @@
   int inherited_listener_;
   std::optional<handover::ListenerOwner> owner_;  // where the socket is inherited
   net::Loop::TimerId owner_timer_ = net::Loop::kNoTimer;
+  pid_t predecessor_ = 0;  // that served the socket when this process started; 0: none did
+  handover::OtherProcesses others_;
   Process process_;
   endpoint_list::EndpointOverlay overlay_;
   std::optional<handover::ProcessExchange> exchange_;
--- a/src/handover/listener_owner.h
+++ b/src/handover/listener_owner.h
@@ -3,6 +3,8 @@
 // no folder, cannot be torn, and is never mistaken for a later process of the same number.
 #pragma once
 
+#include <sys/types.h>
+
 namespace database_proxy::handover {
 
 class ListenerOwner {
@@ -14,6 +16,8 @@
   bool claim() const;
   // Whether another process has claimed it last, and runs.
   bool is_served_by_other() const;
+  // The other process that has claimed it last and has not ended; 0: there is none.
+  pid_t other_owner() const;
   // Whether whoever has claimed it last has ended.
   bool is_abandoned() const;
 
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -22,6 +22,8 @@
 constexpr int kMostAttempts = 8;
 // What a server may be told beyond what its client still waits.
 constexpr Micros kTimeoutSlack = 150ms;
+// What the rules allow beyond their limits on sockets.
+constexpr Micros kSocketSlack = 50ms;
 // A read that was sent so long after it came waited for a replica.
 constexpr Micros kWaited = 5ms;
 
@@ -131,6 +133,9 @@
 
 void Dispatcher::attempt_ended(AttemptEnd end) { ends_.push_back(std::move(end)); }
 void Dispatcher::probe_ended(routing::ProbeResult result) {
+  if (logs_decisions_)
+    log_(net::Level::kDebug, fmt::format("probe of {}: {}", result.server,
+                                         result.ok ? std::string_view(result.load_report) : "no answer"));
   if (load_reports_) load_reports_->on_contact(result.server, result.ok);
   if (siblings_ && result.ok) siblings_->probed(result);
   if (observer_) observer_->probed(result);
@@ -146,7 +151,18 @@
   return it == open_.end() ? nullptr : it->second.client;
 }
 
-void Dispatcher::attempt_begins(RequestId request) {
+// As the rules measure it: the time of the sockets is not the proxy's.
+void Dispatcher::check_withdrawal(RequestId request, const std::string& server) {
+  auto since = withdrawn_servers_.since(server);
+  if (!since || drain_grace_.count() == 0) return;
+  auto past = net::monotonic_now() - *since;
+  invariants_.check(past <= drain_grace_ + kSocketSlack, Invariant::kSentToWithdrawn, [&] {
+    return fmt::format("request {} to {}, {} ms after the first notice", request, server, past / 1ms);
+  });
+}
+
+void Dispatcher::attempt_begins(RequestId request, const std::string& server) {
+  check_withdrawal(request, server);
   auto it = open_.find(request);
   auto detail = [&] { return fmt::format("request {}", request); };
   invariants_.check(it != open_.end(), Invariant::kSendWithoutClient, detail);
@@ -301,6 +317,7 @@
   do {
     for (auto& [update, cached] : std::exchange(lists_, {})) {
       pool_.update(update);
+      withdrawn_servers_.update(now, update);
       if (load_reports_ && update.reset) load_reports_->retain_listed(update.members);
       decider_.update(now, update, cached);
     }
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -16,6 +16,7 @@
 #include "proxy/ports.h"
 #include "proxy/server_pool.h"
 #include "proxy/sibling_workers.h"
+#include "proxy/withdrawn_servers.h"
 #include "routing/decider.h"
 #include "routing/load_reports.h"
 
@@ -71,6 +72,10 @@
   void watch(RequestObserver* watching) { observer_ = watching; }
   // Each attempt, rejection and failure is logged with its reason, or no longer.
   void set_logs_decisions(bool logs) { logs_decisions_ = logs; }
+  // How long an attempt may begin after the first notice that its server is to be given nothing; 0: any time.
+  void set_drain_grace(Micros grace) { drain_grace_ = grace; }
+  // Another process of the proxy takes requests of the same sessions, or none does any more.
+  void share_sessions(bool is_shared) { decider_.share_sessions(loop_.now(), is_shared); }
   void plan(request_router::Plan plan) { decider_.plan(loop_.now(), std::move(plan)); }
   // Beside the module's own wishes.
   void probe_now(const std::string& server) { probe(server); }
@@ -90,7 +95,7 @@
   void attempt_ended(AttemptEnd end) override;
   void probe_ended(routing::ProbeResult result) override;
   ClientPort* client_of(RequestId request) override;
-  void attempt_begins(RequestId request) override;
+  void attempt_begins(RequestId request, const std::string& server) override;
 
  private:
   struct OpenRequest {
@@ -104,6 +109,7 @@
     bool may_have_run = false;
     bool is_repeatable = true;  // its class allows a repeat of what may have run
   };
+  void check_withdrawal(RequestId request, const std::string& server);
   void check_send(const routing::Decision& decision, const OpenRequest& open);
   void record_end(const routing::AttemptResult& result);
   void settle(AttemptEnd& end);
@@ -123,6 +129,8 @@
   net::Log log_;
   InvariantMonitor invariants_;
   ServerPool pool_;
+  WithdrawnServers withdrawn_servers_;
+  Micros drain_grace_{0};
   Counters counters_;
   RequestId next_, step_;
   Micros answer_by_ = Micros::max();
--- a/src/proxy/invariants.cpp
+++ b/src/proxy/invariants.cpp
@@ -30,6 +30,8 @@
       return "a connection closed before its answers";
     case Invariant::kAcceptedTooEarly:
       return "a client accepted before the process can serve";
+    case Invariant::kSentToWithdrawn:
+      return "an attempt at a server that was taken out";
   }
   return "?";
 }
--- a/src/proxy/invariants.h
+++ b/src/proxy/invariants.h
@@ -22,8 +22,9 @@
   kSecondAnswer,
   kClosedUnanswered,  // the proxy ends a connection whose requests it has read and not answered
   kAcceptedTooEarly,  // a client of an inherited socket, before this process can serve
+  kSentToWithdrawn,   // to a server that is cordoned, drains or is gone, later than the grace
 };
-constexpr std::size_t kInvariants = 8;
+constexpr std::size_t kInvariants = 9;
 std::string_view name_of(Invariant invariant);
 
 // Owned by one proxy, used in its thread.
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -50,7 +50,7 @@
   virtual void probe_ended(routing::ProbeResult result) = 0;
   virtual ClientPort* client_of(RequestId request) = 0;
   // An attempt's statement goes out now.
-  virtual void attempt_begins(RequestId request) = 0;
+  virtual void attempt_begins(RequestId request, const std::string& server) = 0;
 };
 
 }  // namespace database_proxy::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -107,6 +107,7 @@
       on_listener_(*this),
       started_at_(loop.now()) {
   dispatcher_.set_logs_decisions(options_.logs_decisions);
+  dispatcher_.set_drain_grace(options_.drain_grace);
   dispatcher_.pool().has_descriptor = [this] {
     auto used = descriptors_in_use();
     if (used < descriptors_allowed() || free_descriptor()) return true;
@@ -196,7 +197,10 @@
   return false;
 }
 
-void Proxy::share_limits_with(const OtherProcessesUsage& others) { others_ = others; }
+void Proxy::share_limits_with(const OtherProcessesUsage& others) {
+  if (others.takes_requests != others_.takes_requests) dispatcher_.share_sessions(others.takes_requests);
+  others_ = others;
+}
 
 std::size_t Proxy::descriptors_allowed() const {
   return proxy::descriptors_allowed(options_.descriptors, others_,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -21,6 +21,7 @@
 // What other processes hold that count as one proxy with this one.
 struct OtherProcessesUsage {
   std::size_t processes = 0, descriptors = 0;
+  bool takes_requests = false;  // one of them may, of the same sessions
 };
 
 // So many of all descriptors may be held beside the others: an equal part, or less as long as they hold more
@@ -49,6 +50,7 @@
   std::function<discovery::EndpointListUpdate(discovery::EndpointListUpdate)> overlay =
       [](discovery::EndpointListUpdate update) { return update; };
   std::size_t reserved_descriptors = 0;  // kept back for the operators' address
+  Micros drain_grace{0};                 // of the settings; 0: they guarantee none
   bool logs_decisions = false;  // each attempt, rejection and failure with its reason, as debug lines
   // False: lists are given by list(), until watch_discovery() says that nobody gives them any more.
   bool watches = true;
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -100,7 +100,7 @@
     finish(outcome_of_timeout(false), false);
     return std::nullopt;
   }
-  pool_.events_.attempt_begins(job_->request);
+  pool_.events_.attempt_begins(job_->request, server_);
   auto query = client->query(std::max(kLeastTimeout, job_->deadline - now));
   return out_.write(fd_.get(), {query.head, query.before, query.wait, query.after});
 }
--- a/src/request_router/replication_lag.cpp
+++ b/src/request_router/replication_lag.cpp
@@ -60,12 +60,18 @@
   return known == last_writes_.end() ? newest_dropped_ : known->second;
 }
 
+void SessionPositions::set_shared(Micros now, bool is_shared) {
+  if (is_shared_ || is_shared) shared_until_ = now;
+  is_shared_ = is_shared;
+}
+
 Micros session_position(const RouterState& state, const Request& request) {
   if (state.settings.client_carries_write_age) {
     bool has_written = request.write_age && request.write_age->count() > 0;
     return has_written ? state.now - *request.write_age : kNever;
   }
-  return request.key ? state.sessions.last_write(*request.key) : kNever;
+  if (!request.key) return kNever;
+  return std::max(state.sessions.last_write(*request.key), state.sessions.last_write_elsewhere(state.now));
 }
 
 Micros required_position(const RouterState& state, const PendingRequest& pending) {
--- a/src/request_router/replication_lag.h
+++ b/src/request_router/replication_lag.h
@@ -40,10 +40,18 @@
   // one that was dropped with the others, or kNever.
   Micros last_write(std::uint64_t session) const;
 
+  // Another process of the proxy takes writes of the same sessions from now on, or did so until now.
+  void set_shared(Micros now, bool is_shared);
+
+  // The latest time at which another process may have taken a write; kNever: there has been none.
+  Micros last_write_elsewhere(Micros now) const { return is_shared_ ? now : shared_until_; }
+
  private:
   std::unordered_map<std::uint64_t, Micros> last_writes_;
   Micros newest_ = kNever;          // of all writes
   Micros newest_dropped_ = kNever;  // the newest when all sessions were dropped
+  Micros shared_until_ = kNever;
+  bool is_shared_ = false;
 };
 
 // The position that a session read needs when it arrives; kNever where there is none.
--- a/src/request_router/router.cpp
+++ b/src/request_router/router.cpp
@@ -128,6 +128,10 @@
   return std::move(state.actions);
 }
 
+void Router::share_sessions(Micros now, bool is_shared) {
+  state_->sessions.set_shared(std::max(now, state_->now), is_shared);
+}
+
 std::size_t Router::members() const { return state_->members.size(); }
 
 double Router::room(MemberId member) const { return internal::surplus_capacity(*state_, member); }
--- a/src/routing/decider.h
+++ b/src/routing/decider.h
@@ -25,6 +25,8 @@
   virtual void on_client_disconnected(Micros now, RequestId request) = 0;
   // False: the queue to the decisions is full, and this request was not taken.
   virtual bool submit(Micros now, const Request& request) = 0;
+  // As DecisionFacade::share_sessions().
+  virtual void share_sessions(Micros now, bool is_shared) = 0;
   // The plan of zones, and DecisionFacade::spare_capacity(). Only where decisions are made in this thread: a
   // group of daemons goes with one worker.
   virtual void plan(Micros now, request_router::Plan plan) = 0;
@@ -53,6 +55,7 @@
     facade_.submit(now, request);
     return true;
   }
+  void share_sessions(Micros now, bool is_shared) override { facade_.share_sessions(now, is_shared); }
   void plan(Micros now, request_router::Plan plan) override { facade_.plan(now, std::move(plan)); }
   double spare_capacity(const std::string& server) const override { return facade_.spare_capacity(server); }
   TickResult collect(Micros now) override { return facade_.tick(now); }
--- a/src/routing/decision_facade.cpp
+++ b/src/routing/decision_facade.cpp
@@ -249,6 +249,8 @@
 
 void DecisionFacade::plan(Micros, router::Plan plan) { pending_events_.emplace_back(std::move(plan)); }
 
+void DecisionFacade::share_sessions(Micros now, bool is_shared) { router_.share_sessions(now, is_shared); }
+
 double DecisionFacade::spare_capacity(const std::string& server) const {
   auto it = member_ids_.find(server);
   return it == member_ids_.end() ? 0 : router_.room(it->second);
--- a/src/routing/decision_facade.h
+++ b/src/routing/decision_facade.h
@@ -122,6 +122,8 @@
   void on_client_disconnected(Micros now, RequestId request);
   // Which zones the reads go to from now on; replaces the last plan.
   void plan(Micros now, request_router::Plan plan);
+  // Another process of the proxy takes requests of the same sessions from now on, or none does any more.
+  void share_sessions(Micros now, bool is_shared);
   // Requests a second that would go to a server beside those in flight; 0: the server is not known.
   double spare_capacity(const std::string& server) const;
   // Takes a request and returns its first decision, kPostpone where there is none yet.
--- a/src/workers/decision_thread.cpp
+++ b/src/workers/decision_thread.cpp
@@ -54,6 +54,10 @@
   });
 }
 
+void DecisionThread::share_sessions(bool is_shared) {
+  post([this, is_shared] { facade_->share_sessions(loop_.now(), is_shared); });
+}
+
 void DecisionThread::set_limits(proxy::PoolLimits limits) {
   post([this, limits] { pool_.set_limits(limits); });
 }
--- a/src/workers/decision_thread.h
+++ b/src/workers/decision_thread.h
@@ -30,6 +30,8 @@
   void wake() { tasks_.notify(); }
   void post(net::TaskQueue::Task call) { tasks_.post(std::move(call)); }
   void list(discovery::EndpointListUpdate update, bool cached);
+  // As DecisionFacade::share_sessions(); from any thread.
+  void share_sessions(bool is_shared);
   void set_limits(proxy::PoolLimits limits);
   std::uint64_t probes() const { return probes_made_.load(std::memory_order_relaxed); }
   std::size_t descriptors() const { return descriptors_.load(std::memory_order_relaxed); }
@@ -42,7 +44,7 @@
   void attempt_ended(proxy::AttemptEnd) override {}  // it sends no requests
   void probe_ended(routing::ProbeResult result) override { probed_.push_back(std::move(result)); }
   proxy::ClientPort* client_of(routing::RequestId) override { return nullptr; }
-  void attempt_begins(routing::RequestId) override {}
+  void attempt_begins(routing::RequestId, const std::string&) override {}
 
   net::Loop loop_;
   net::TaskQueue tasks_;
--- a/src/workers/remote_decider.h
+++ b/src/workers/remote_decider.h
@@ -44,6 +44,7 @@
   void report(Micros, routing::ProbeResult) override {}  // the decision thread probes by itself
   void on_client_disconnected(Micros now, routing::RequestId request) override;
   bool submit(Micros now, const routing::Request& request) override;
+  void share_sessions(Micros, bool) override {}  // the decision thread is told by the pool
   // A group of daemons goes with one worker, so there is no plan of zones here and nobody who would use
   // capacities.
   void plan(Micros, request_router::Plan) override {}
--- a/src/workers/worker_pool.cpp
+++ b/src/workers/worker_pool.cpp
@@ -413,6 +413,7 @@
   other_processes_ = others.processes;
   other_descriptors_ = others.descriptors;
   for (auto& worker : workers_) worker->post([others, &p = worker->proxy()] { p.share_limits_with(others); });
+  if (decisions_) decisions_->share_sessions(others.takes_requests);
 }
 
 std::size_t WorkerPool::descriptors_held() const {
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -28,6 +28,7 @@
   void report(Micros, routing::ProbeResult) override {}
   void on_client_disconnected(Micros, RequestId) override {}
   bool submit(Micros, const routing::Request&) override { return true; }
+  void share_sessions(Micros, bool) override {}
   void plan(Micros, request_router::Plan) override {}
   double spare_capacity(const std::string&) const override { return 0; }
   routing::TickResult collect(Micros) override { return {std::exchange(next, {}), std::nullopt}; }
@@ -90,6 +91,26 @@
 
 }  // namespace
 
+TEST_CASE("invariants: an attempt at a server that was taken out, later than its grace") {
+  Bench bench;
+  bench.dispatcher.set_drain_grace(1s);
+  auto begin_after = [&](Micros since_notice, discovery::Lifecycle lifecycle) {
+    discovery::EndpointListUpdate update;
+    auto& endpoint = update.members.emplace_back();
+    endpoint.id = "s";
+    endpoint.lifecycle = lifecycle;
+    endpoint.notified_at = net::monotonic_now() - since_notice;
+    bench.dispatcher.list(update);
+    bench.dispatcher.on_iteration_end();
+    bench.dispatcher.attempt_begins(bench.id, "s");
+    return bench.count(Invariant::kSentToWithdrawn);
+  };
+  CHECK(begin_after(900ms, discovery::Lifecycle::kDraining) == 0);
+  CHECK(begin_after(1100ms, discovery::Lifecycle::kDraining) == 1);
+  CHECK(begin_after(0ms, discovery::Lifecycle::kUp) == 1);
+  CHECK(begin_after(1100ms, discovery::Lifecycle::kRemoved) == 2);
+}
+
 TEST_CASE("invariants: right decisions break none, and the last line of the log tells the count") {
   Bench bench;
   bench.decide(Kind::kSend, 0);
@@ -138,10 +159,10 @@
 
 TEST_CASE("invariants: a statement that goes out for a request with its answer counts") {
   Bench bench;
-  bench.dispatcher.attempt_begins(bench.id);
+  bench.dispatcher.attempt_begins(bench.id, "s");
   CHECK(bench.count(Invariant::kSendWithoutClient) == 0);
   bench.dispatcher.fail_open_requests("");
-  bench.dispatcher.attempt_begins(bench.id);
+  bench.dispatcher.attempt_begins(bench.id, "s");
   CHECK(bench.count(Invariant::kSendWithoutClient) == 1);
 }
 
