Soak: operators' calls, drains and returns of primaries and replicas, checked by the stand-ins

Change: operators of each node cordon and put back the primary and replicas at either process, twice now and then, and with ids that nobody has; discovery drains and lists again; all overlaps upgrades, kills, stops, failing folders, silent discovery. Discovery tells nodes apart by address and requests name their node, so that the stand-ins check each attempt against the first notice at any process of its node (WithdrawalChecker), and that a primary that was put back is used within 5 s. Two faults of the load are mended: nodes drew the same keys, which counted as repeats once writes had to wait, and what was sent after the end had no time for its answer; it sends nothing into a connection whose end has come. Each unanswered request is told.

--- a/src/testbench/fake_servers.cpp
+++ b/src/testbench/fake_servers.cpp
@@ -409,9 +409,11 @@
     listener_ = net::listen_on(*net::parse_address(fmt::format("127.0.0.1:{}", port)), &error);
     if (!listener_) throw std::runtime_error("discovery cannot listen: " + net::message_of(error));
     loop().add(listener_.get(), &on_accept_);
+    for (int node = 0; node < testbench.options_.nodes; ++node) listen_for(node);
   }
   ~Discovery() { stop(); }
   int port() const { return net::local_port(listener_.get()); }
+  int port_of(int node) const { return nodes_.at(static_cast<std::size_t>(node))->port(); }
 
   // In its thread: `entry` is as it stands from now on.
   void set(json entry) {
@@ -455,7 +457,8 @@
   };
   class Caller : public net::Handler {
    public:
-    Caller(Discovery& owner, net::Fd fd) : owner_(owner), fd_(std::move(fd)) {}
+    Caller(Discovery& owner, net::Fd fd, std::string node = "")
+        : owner_(owner), fd_(std::move(fd)), node_(std::move(node)) {}
     ~Caller() override { owner_.loop().cancel(&timer_); }
     void on_ready(std::uint32_t events) override {
       if ((events & EPOLLOUT) && !out_.flush(fd_.get())) return end();
@@ -501,8 +504,14 @@
           "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.size());
       auto now = net::monotonic_now();
       if (!out_.write(fd_.get(), {head, body})) return end();
-      for (auto& e : list.at("instances"))
-        owner_.lab_.rules_.told(now, e.at("instanceId"), e.at("lifecycle") == "up");
+      auto& rules = owner_.lab_.rules_;
+      for (auto& e : list.at("instances")) {
+        bool takes_work = e.at("lifecycle") == "up";
+        if (node_.empty())
+          rules.told(now, e.at("instanceId"), takes_work);
+        else
+          rules.withdrawals().on_listed(now, node_, e.at("instanceId"), takes_work);
+      }
     }
     void end() {
       if (!fd_) return;
@@ -527,6 +536,7 @@
     }
     Discovery& owner_;
     net::Fd fd_;
+    std::string node_;  // that calls; empty: not told apart
     net::InBuffer in_;
     net::OutBuffer out_;
     std::optional<std::int64_t> after_;
@@ -547,6 +557,30 @@
    private:
     Discovery& owner_;
   };
+  // The address of one node.
+  class NodeListener : public net::Handler {
+   public:
+    NodeListener(Discovery& owner, int node) : owner_(owner), node_(fmt::format("n{}", node)) {
+      int error = 0;
+      listener_ = net::listen_on(*net::parse_address("127.0.0.1:0"), &error);
+      if (!listener_) throw std::runtime_error("discovery cannot listen: " + net::message_of(error));
+      owner_.loop().add(listener_.get(), this);
+    }
+    void on_ready(std::uint32_t) override {
+      int error = 0;
+      while (auto fd = net::accept_from(listener_.get(), &error)) {
+        owner_.callers_.push_back(std::make_unique<Caller>(owner_, std::move(fd), node_));
+        owner_.callers_.back()->start();
+      }
+    }
+    int port() const { return net::local_port(listener_.get()); }
+
+   private:
+    Discovery& owner_;
+    std::string node_;
+    net::Fd listener_;
+  };
+  void listen_for(int node) { nodes_.push_back(std::make_unique<NodeListener>(*this, node)); }
   void tell() {
     std::vector<Caller*> all;
     for (auto& c : callers_) all.push_back(c.get());
@@ -560,6 +594,7 @@
   Micros busy_until_{0};
   std::vector<Entry> entries_;
   std::vector<std::unique_ptr<Caller>> callers_, closed_;
+  std::vector<std::unique_ptr<NodeListener>> nodes_;
 };
 
 // ---- steering
@@ -653,6 +688,9 @@
 }
 
 std::string FakeServers::discovery() const { return fmt::format("127.0.0.1:{}", discovery_->port()); }
+std::string FakeServers::discovery_of(int node) const {
+  return fmt::format("127.0.0.1:{}", discovery_->port_of(node));
+}
 std::string FakeServers::steering() const { return fmt::format("127.0.0.1:{}", steering_->port()); }
 
 void FakeServers::in(const Place& place, const std::function<void()>& call) const {
@@ -747,6 +785,9 @@
   } else if (what == "up") {
     life(Life::kUp);
     listed(id, "up");
+  } else if (what == "list-up") {  // the end of a drain; its life stays as it is
+    place(action);
+    listed(id, "up");
   } else if (what == "remove") {
     place(action);
     listed(id, "removed");
--- a/src/testbench/fake_servers.h
+++ b/src/testbench/fake_servers.h
@@ -30,6 +30,7 @@
   std::vector<std::string> zones{"north-bldg"};
   Micros handover_gap{300'000};  // without a primary
   Micros key_window{5'000'000};
+  int nodes = 0;                           // that discovery tells apart: each has an address of it
   int discovery_port = 0, steer_port = 0;  // 0: the system picks one
   std::uint64_t seed = 1;
   ModelOptions model;
@@ -59,7 +60,9 @@
   ~FakeServers();
 
   std::string discovery() const;  // its address
-  std::string steering() const;   // takes a JSON object a line, answers each with one
+  // Its address for one node, from 0; notices that go there are checked as the node's (WithdrawalChecker).
+  std::string discovery_of(int node) const;
+  std::string steering() const;  // takes a JSON object a line, answers each with one
   RuleChecker& rules() { return rules_; }
   std::vector<std::string> servers() const;
   // Carries out one action; throws std::invalid_argument for one that is unknown or names nothing known.
--- a/src/testbench/fault_injection/soak.cpp
+++ b/src/testbench/fault_injection/soak.cpp
@@ -28,10 +28,11 @@
 using nlohmann::json;
 using std::chrono::milliseconds, std::chrono::seconds, std::chrono::steady_clock;
 
-constexpr int kConnections = 24;          // of each node's clients
-constexpr int kRatePerNode = 150;         // requests a second
-constexpr int kCrowd = 120;               // idle connections, where there is a crowd
-constexpr int kTurnedBackPerUpgrade = 1;  // where there is none
+constexpr int kConnections = 24;              // of each node's clients
+constexpr int kRatePerNode = 150;             // requests a second
+constexpr int kCrowd = 120;                   // idle connections, where there is a crowd
+constexpr int kTurnedBackPerUpgrade = 1;      // where there is none
+constexpr auto kUseAfterReturn = seconds(5);  // of a server that was put back, as the operators' page has it
 
 struct SoakOptions {
   std::string program;
@@ -107,11 +108,14 @@
     result->violations.push_back(fmt::format("{}: {}", limits.folder, what));
   };
   auto excused = static_cast<std::uint64_t>(node.crashes * kConnections);
-  if (load.lost > excused) violation(fmt::format("{} requests lost, {} excused", load.lost, excused));
+  if (load.lost > excused)
+    violation(fmt::format("{} requests lost, {} excused: {}", load.lost, excused,
+                          fmt::join(load.unanswered_requests, "; ")));
   auto turned_back = load.unanswered - load.lost - load.unsent;
   auto allowed = excused + static_cast<std::uint64_t>(node.upgrades * kTurnedBackPerUpgrade);
   if (!script.has_crowd && turned_back > allowed)
-    violation(fmt::format("{} requests turned back unheard, {} allowed", turned_back, allowed));
+    violation(fmt::format("{} requests turned back unheard, {} allowed: {}", turned_back, allowed,
+                          fmt::join(load.unanswered_requests, "; ")));
   result->turned_back += turned_back;
   if (node.most_descriptors > static_cast<int>(limits.sockets))
     violation(fmt::format("{} descriptors of {}", node.most_descriptors, limits.sockets));
@@ -129,7 +133,11 @@
     SoakNodeOptions node;
     node.program = options.program;
     node.folder = fmt::format("{}/n{}", folder, i);
-    node.discovery = servers.discovery();
+    node.name = fmt::format("n{}", i);
+    node.discovery = servers.discovery_of(static_cast<int>(i));
+    node.calls = i < script.calls.size() ? script.calls[i] : std::vector<PlannedCall>{};
+    node.withdrawals = &servers.rules().withdrawals();
+    node.began = began;
     node.known = servers.members();
     node.seed = script.seed;
     node.connections = kConnections;
@@ -150,7 +158,7 @@
       load.rate = kRatePerNode;
       load.length = seconds(script.seconds);
       load.rules = &servers.rules();
-      load.seed = script.seed;
+      load.seed = script.seed * script.nodes.size() + i;  // no two nodes draw the same keys
       load.prefix = fmt::format("n{}c", i);
       loads[i] = run_load(load);
     });
@@ -158,9 +166,12 @@
   }
   play_actions(servers, script, began);
   std::this_thread::sleep_until(began + seconds(script.seconds));
+  auto unused = servers.rules().withdrawals().unused_since_return(net::monotonic_now(),
+                                                                  servers.servers().front(), kUseAfterReturn);
   crowds.clear();
   for (auto& thread : threads) thread.join();
   SoakResult result;
+  result.violations = unused;
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     result.load.add(loads[i]);
     add_figures(nodes[i]->figures(), &result.nodes);
@@ -209,13 +220,15 @@
                const std::string& keep) {
   FakeServersOptions sets;
   sets.replicas = 3;
+  sets.nodes = script ? static_cast<int>(script->nodes.size()) : options.nodes;
   sets.seed = seed;
   constexpr double kServiceUs = 2000;
   sets.model.service_us = kServiceUs;
   FakeServers servers(sets);
   auto replicas = servers.servers();
-  replicas.erase(replicas.begin());  // the primary stays as it is
-  if (!script) script = draw_script(seed, options.nodes, options.seconds, replicas);
+  auto primary = replicas.front();
+  replicas.erase(replicas.begin());
+  if (!script) script = draw_script(seed, options.nodes, options.seconds, primary, replicas);
   if (options.prints_script) std::cout << script_to_json(*script).dump() << "\n";
   std::optional<TemporaryDirectory> temporary;
   if (keep.empty()) temporary.emplace();
--- a/src/testbench/fault_injection/soak_node.cpp
+++ b/src/testbench/fault_injection/soak_node.cpp
@@ -67,6 +67,11 @@
   options.environment.emplace_back("TMPDIR", options_.folder + "/tmp");
   started.process = std::make_unique<ProcessUnderTest>(options);
   running_.push_back(started.process.get());
+  {
+    std::lock_guard lock(mutex_);
+    addresses_[started.process.get()] = options.operator_address;
+    by_age_.push_back(started.process.get());
+  }
   ++figures_.processes;
   return started;
 }
@@ -117,15 +122,18 @@
 
 void SoakNode::stop_for(Process& process, int milliseconds_stopped) {
   process.is_disturbed = true;
+  options_.withdrawals->on_stopped(options_.name);
   process.process->signal(SIGSTOP);
   std::this_thread::sleep_for(milliseconds(milliseconds_stopped));
   process.process->signal(SIGCONT);
+  options_.withdrawals->on_continued(net::monotonic_now(), options_.name);
 }
 
 void SoakNode::kill_process(Process& process) {
   if (process.process->ready()) ++figures_.crashes;
   process.process->signal(SIGKILL);
   std::erase(running_, process.process.get());
+  forget(process.process.get());
   process.process->wait();
   check_log(process);
 }
@@ -149,6 +157,7 @@
     std::this_thread::sleep_for(kPollInterval);
   }
   std::erase(running_, process.process.get());
+  forget(process.process.get());
   figures_.longest_exit_s = std::max(figures_.longest_exit_s, seconds_since(told_at));
   if (process.process->exit_code() != 0)
     violation(process,
@@ -195,7 +204,28 @@
   twin_ = {};
 }
 
+void SoakNode::forget(const ProcessUnderTest* process) {
+  std::lock_guard lock(mutex_);
+  addresses_.erase(process);
+  std::erase(by_age_, process);
+}
+
+std::string SoakNode::operator_address(bool newest) {
+  std::lock_guard lock(mutex_);
+  if (by_age_.empty()) return "";
+  return addresses_.at(newest ? by_age_.back() : by_age_.front());
+}
+
 void SoakNode::run() {
+  OperatorCalls calls(options_.name, options_.calls, *options_.withdrawals,
+                      [this](bool newest) { return operator_address(newest); });
+  std::thread operating([&] { calls.run(options_.began, options_.until); });
+  play_upgrades();
+  operating.join();
+  figures_.violations.insert(figures_.violations.end(), calls.violations().begin(), calls.violations().end());
+}
+
+void SoakNode::play_upgrades() {
   serving_ = start({});
   if (!becomes_healthy(serving_)) return;
   for (auto& plan : options_.upgrades) {
--- a/src/testbench/fault_injection/soak_node.h
+++ b/src/testbench/fault_injection/soak_node.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include "net/fd.h"
 #include "testbench/fault_injection/call_faults.h"
+#include "testbench/fault_injection/operator_calls.h"
 #include "testbench/fault_injection/soak_script.h"
 #include "testbench/process_under_test.h"
 
@@ -22,7 +24,11 @@
   std::uint64_t seed = 1;
   std::size_t sockets = 256, memory_mb = 64;
   int connections = 0;  // that the node's clients hold: as many requests may be lost where it crashes
+  std::string name;     // its requests' ids begin with it
   std::vector<PlannedUpgrade> upgrades;
+  std::vector<PlannedCall> calls;
+  WithdrawalChecker* withdrawals = nullptr;
+  std::chrono::steady_clock::time_point began;
   std::chrono::steady_clock::time_point until;
 };
 
@@ -51,6 +57,8 @@
     bool is_disturbed = false;  // it was stopped: its times do not count
   };
 
+  std::string operator_address(bool newest);
+  void play_upgrades();
   Process start(const PlannedUpgrade& plan);
   void upgrade(const PlannedUpgrade& plan);
   bool hit_successor(const PlannedUpgrade& plan, Process& successor);
@@ -68,6 +76,10 @@
   net::Fd listening_socket_;
   Process serving_, twin_;
   std::vector<const ProcessUnderTest*> running_;
+  std::mutex mutex_;                                          // of what follows
+  std::map<const ProcessUnderTest*, std::string> addresses_;  // the operators', of those that run
+  std::vector<const ProcessUnderTest*> by_age_;
+  void forget(const ProcessUnderTest* process);
   int started_ = 0;
   SoakNodeFigures figures_;
 };
--- a/src/testbench/fault_injection/soak_script.cpp
+++ b/src/testbench/fault_injection/soak_script.cpp
@@ -58,6 +58,20 @@
     return plan;
   }
 
+  // A server is taken out and put back, again and again; now and then by two calls, or one that cannot be.
+  void cordons(const std::string& server, int length_ms, std::vector<PlannedCall>* calls) {
+    auto add = [&](int at_ms, CallKind kind, const std::string& id, bool is_known) {
+      calls->push_back({at_ms, kind, id, is_known, one_in(2)});
+    };
+    for (int at = between(200, 2500); at < length_ms; at += between(600, 3000)) {
+      add(at, CallKind::kCordon, server, true);
+      if (one_in(3)) add(at + between(1, 300), CallKind::kCordon, server, true);
+      if (one_in(6)) add(at, CallKind::kCordon, "nobody", false);
+      at += between(900, 3000);
+      add(at, CallKind::kUncordon, server, true);
+    }
+  }
+
   // What is done to one of the servers, and what ends it.
   void server_fault(const std::string& server, int at_ms, bool may_restart,
                     std::vector<PlannedAction>* actions) {
@@ -116,7 +130,8 @@
 
 }  // namespace
 
-SoakScript draw_script(std::uint64_t seed, int nodes, int seconds, const std::vector<std::string>& servers) {
+SoakScript draw_script(std::uint64_t seed, int nodes, int seconds, const std::string& primary,
+                       const std::vector<std::string>& replicas) {
   constexpr int kMostUpgrades = 40;  // of a node: more than fit into the time
   constexpr int kMillisPerSecond = 1000;
   Drawer drawer(seed);
@@ -133,7 +148,7 @@
   bool has_outages = drawer.one_in(2);
   int length_ms = seconds * kMillisPerSecond;
   // Faults of one server must not overlap each other, or one would end another's.
-  for (auto& server : servers)
+  for (auto& server : replicas)
     for (int at = drawer.between(300, 3000); at < length_ms - 2500; at += drawer.between(2000, 5000))
       drawer.server_fault(server, at, !has_outages, &script.actions);
   for (int at = drawer.between(500, 4000); has_outages && at < length_ms - 3000;
@@ -141,6 +156,23 @@
     script.actions.push_back({at, {{"do", "discovery"}, {"mute", true}}});
     script.actions.push_back({at + drawer.between(300, 2500), {{"do", "discovery"}, {"mute", false}}});
   }
+  // One replica stays as discovery has it, so that reads have a place to go to.
+  std::vector<std::string> withdrawn{primary};
+  withdrawn.insert(withdrawn.end(), replicas.begin() + 1, replicas.end());
+  auto drained =
+      withdrawn[static_cast<std::size_t>(drawer.between(0, static_cast<int>(withdrawn.size()) - 1))];
+  for (int at = drawer.between(300, 3000); at < length_ms - 1500; at += drawer.between(800, 3000)) {
+    script.actions.push_back({at, {{"do", "drain"}, {"server", drained}}});
+    at += drawer.between(500, 2500);
+    script.actions.push_back({at, {{"do", "list-up"}, {"server", drained}}});
+  }
+  for (int node = 0; node < nodes; ++node) {
+    auto& calls = script.calls.emplace_back();
+    for (auto& server : withdrawn)
+      if (drawer.one_in(2)) drawer.cordons(server, length_ms, &calls);
+    std::stable_sort(calls.begin(), calls.end(),
+                     [](auto& left, auto& right) { return left.at_ms < right.at_ms; });
+  }
   std::stable_sort(script.actions.begin(), script.actions.end(),
                    [](auto& left, auto& right) { return left.at_ms < right.at_ms; });
   return script;
@@ -152,12 +184,16 @@
     auto& node = nodes.emplace_back(json::array());
     for (auto& plan : plans) node.push_back(to_json(plan));
   }
+  json calls = json::array();
+  for (auto& planned : script.calls) {
+    auto& node = calls.emplace_back(json::array());
+    for (auto& call : planned)
+      node.push_back({call.at_ms, static_cast<int>(call.kind), call.server, call.is_known, call.at_newest});
+  }
   for (auto& action : script.actions) actions.push_back({{"at_ms", action.at_ms}, {"action", action.action}});
-  return {{"seed", script.seed},
-          {"seconds", script.seconds},
-          {"has_crowd", script.has_crowd},
-          {"nodes", nodes},
-          {"actions", actions}};
+  return {
+      {"seed", script.seed}, {"seconds", script.seconds}, {"has_crowd", script.has_crowd}, {"nodes", nodes},
+      {"calls", calls},      {"actions", actions}};
 }
 
 SoakScript script_from_json(const json& json) {
@@ -169,6 +205,12 @@
     auto& plans = script.nodes.emplace_back();
     for (auto& plan : node) plans.push_back(upgrade_from(plan));
   }
+  for (auto& planned : json.at("calls")) {
+    auto& calls = script.calls.emplace_back();
+    for (auto& call : planned)
+      calls.push_back(
+          {call.at(0), static_cast<CallKind>(call.at(1).get<int>()), call.at(2), call.at(3), call.at(4)});
+  }
   for (auto& action : json.at("actions")) script.actions.push_back({action.at("at_ms"), action.at("action")});
   return script;
 }
--- a/src/testbench/fault_injection/soak_script.h
+++ b/src/testbench/fault_injection/soak_script.h
@@ -33,6 +33,16 @@
   std::int64_t wall_clock_step_us = 0;     // at the successor, in the overlap
 };
 
+// A call of an operator at a node. Calls of one node are made one after another.
+enum class CallKind { kCordon, kUncordon };
+struct PlannedCall {
+  int at_ms = 0;
+  CallKind kind = CallKind::kCordon;
+  std::string server;
+  bool is_known = true;    // false: no server has this id
+  bool at_newest = false;  // at the newest process of the node, else at the oldest
+};
+
 // An action of the fake servers (docs/lab.md), so long after the start.
 struct PlannedAction {
   int at_ms = 0;
@@ -44,11 +54,13 @@
   int seconds = 8;
   bool has_crowd = false;
   std::vector<std::vector<PlannedUpgrade>> nodes;
+  std::vector<std::vector<PlannedCall>> calls;  // by node
   std::vector<PlannedAction> actions;
 };
 
-// `servers`: the ids of replicas that may be hit.
-SoakScript draw_script(std::uint64_t seed, int nodes, int seconds, const std::vector<std::string>& servers);
+// `replicas` may be hit by faults; they and the primary are drained, cordoned and put back.
+SoakScript draw_script(std::uint64_t seed, int nodes, int seconds, const std::string& primary,
+                       const std::vector<std::string>& replicas);
 
 nlohmann::json script_to_json(const SoakScript& script);
 SoakScript script_from_json(const nlohmann::json& json);
--- a/src/testbench/load.cpp
+++ b/src/testbench/load.cpp
@@ -22,6 +22,7 @@
 constexpr Micros kSettle{2'500'000};  // after the end, what is out may still be answered
 constexpr Micros kReconnect{20'000};
 constexpr Micros kSeries{500'000};
+constexpr std::size_t kNotedRequests = 40;
 
 enum Cls { kBrowse, kOwnView, kBook };
 constexpr const char* kClassNames[] = {"browse", "own-view", "book"};
@@ -44,6 +45,9 @@
   void ask(Ask ask);
   bool full() const;
   bool up() const { return started_; }
+  void note_unanswered(const char* why);
+  // Its connection has ended, and the event is still to come: nothing is sent into it.
+  bool has_ended() const { return fd_ && net::peer_has_closed(fd_.get()); }
   std::size_t out() const { return out_asks_.size(); }
   void flush();
   int number() const { return number_; }
@@ -62,6 +66,7 @@
   struct Out {
     std::string id;
     Ask ask;
+    Micros sent_at{0};
   };
   std::deque<Out> out_asks_;
   // What has come of the answer that is being read.
@@ -98,7 +103,7 @@
     loop.at(until, [this] { figures.cpu_seconds = {thread_cpu_seconds() - cpu_at_}; });
     next_arrival_ = began;
     loop.run([this] { end_of_turn(); });
-    for (auto& client : clients_) figures.unanswered += client->out();
+    for (auto& client : clients_) client->note_unanswered("still out at the end");
     figures.unanswered += waiting_.size();
     figures.unsent += waiting_.size();
     figures.seconds = static_cast<double>(options.length.count()) * 1e-6;
@@ -128,7 +133,9 @@
         for (auto& client : clients_)
           while (client->up() && !client->full()) client->ask(take(now));
     }
-    for (std::size_t left = waiting_.size(); left > 0 && options.rate > 0; --left) {
+    // What is still waiting at the end could not be answered before the load ends.
+    bool may_ask = options.rate > 0 && now < until;
+    for (std::size_t left = waiting_.size(); left > 0 && may_ask; --left) {
       auto* client = free_client();
       if (!client) break;
       client->ask(waiting_.front());
@@ -162,7 +169,7 @@
   Client* free_client() {
     for (std::size_t i = 0; i < clients_.size(); ++i) {
       auto& c = clients_[turn_++ % clients_.size()];
-      if (c->up() && !c->full()) return c.get();
+      if (c->up() && !c->full() && !c->has_ended()) return c.get();
     }
     return nullptr;
   }
@@ -214,14 +221,29 @@
   out_ = {};
   pending_.clear();
   started_ = greeted_ = row_ = false;
-  owner_.figures.unanswered += out_asks_.size();
-  auto* rules = owner_.options.rules;
-  for (auto& out : out_asks_) owner_.figures.lost += rules && rules->was_attempted(out.id);
+  note_unanswered("its connection ended");
   out_asks_.clear();
   if (owner_.loop.now() < owner_.until || owner_.until.count() == 0)
     owner_.loop.at(owner_.loop.now() + kReconnect, [this] { connect(); });
 }
 
+void Client::note_unanswered(const char* why) {
+  auto& figures = owner_.figures;
+  auto* rules = owner_.options.rules;
+  auto now = owner_.loop.now();
+  auto seconds = [](Micros time) { return static_cast<double>(time.count()) * 1e-6; };
+  figures.unanswered += out_asks_.size();
+  for (auto& out : out_asks_) {
+    bool is_lost = rules && rules->was_attempted(out.id);
+    figures.lost += is_lost;
+    if (figures.unanswered_requests.size() >= kNotedRequests) continue;
+    figures.unanswered_requests.push_back(
+        fmt::format("{} ({}{}): {}, {:.3f} s after it was sent, at {:.3f}", out.id,
+                    kClassNames[out.ask.request_class], is_lost ? ", lost" : "", why,
+                    seconds(now - out.sent_at), seconds(now)));
+  }
+}
+
 bool Client::full() const { return out_asks_.size() >= static_cast<std::size_t>(owner_.options.depth); }
 
 void Client::ask(Ask a) {
@@ -245,7 +267,7 @@
                       a.request_class == kOwnView && after > 0 ? fmt::format(",after={}", after) : "", retry);
   }
   pending_ += pg::simple_query(sql);
-  out_asks_.push_back({std::move(id), a});
+  out_asks_.push_back({std::move(id), a, owner_.loop.now()});
 }
 
 void Client::flush() {
@@ -364,6 +386,8 @@
   broken += o.broken;
   lost += o.lost;
   unsent += o.unsent;
+  unanswered_requests.insert(unanswered_requests.end(), o.unanswered_requests.begin(),
+                             o.unanswered_requests.end());
   for (auto& [name, histogram] : o.latency) {
     auto [it, fresh] = latency.try_emplace(name, histogram);
     if (!fresh) it->second += histogram;
--- a/src/testbench/load.h
+++ b/src/testbench/load.h
@@ -45,6 +45,7 @@
   std::uint64_t unsent = 0;  // of the unanswered: no connection was free for them up to the end
   std::uint64_t lost = 0;    // of the unanswered: an attempt had come to a server
   std::map<std::string, Latencies> latency;  // by class, of what was served
+  std::vector<std::string> unanswered_requests;  // the first ones, and what became of them
   Latencies all = make_latencies();
   double seconds = 0;
   std::vector<double> cpu_seconds;  // of each load thread, while measuring
--- a/src/testbench/process_under_test.cpp
+++ b/src/testbench/process_under_test.cpp
@@ -195,7 +195,12 @@
 
 std::string ProcessUnderTest::operator_call(const std::string& line,
                                             std::chrono::milliseconds timeout) const {
-  auto address = net::parse_address(options_.operator_address);
+  return testbench::operator_call(options_.operator_address, line, timeout);
+}
+
+std::string operator_call(const std::string& operator_address, const std::string& line,
+                          std::chrono::milliseconds timeout) {
+  auto address = net::parse_address(operator_address);
   net::Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   timeval limit{timeout.count() / 1000, timeout.count() % 1000 * 1000};
   setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
--- a/src/testbench/process_under_test.h
+++ b/src/testbench/process_under_test.h
@@ -37,6 +37,10 @@
 // The request classes, limits and guarantees that the lab's stand-ins keep to.
 nlohmann::json lab_settings();
 
+// Sends one line to an operators' address and returns the complete answer; empty: none came in time.
+std::string operator_call(const std::string& address, const std::string& line,
+                          std::chrono::milliseconds timeout);
+
 class ProcessUnderTest {
  public:
   // Starts it and waits until it is ready. Throws std::runtime_error with the end of its log.
--- a/src/testbench/rules.cpp
+++ b/src/testbench/rules.cpp
@@ -20,6 +20,8 @@
       return "too many attempts";
     case Rule::kDrained:
       return "sent after the grace of a drain";
+    case Rule::kWithdrawn:
+      return "sent by a node that was told to leave the server";
     case Rule::kCold:
       return "cold member overrun";
     case Rule::kStale:
@@ -69,6 +71,8 @@
     breach(Rule::kTwoOut, fmt::format("request {} at {} while another attempt is out", request, server));
   if (attempts > limits_.attempts)
     breach(Rule::kTooMany, fmt::format("request {} sent {} times", request, attempts));
+  if (auto what = withdrawals_.on_attempt(begun, request, std::string(server)))
+    breach(Rule::kWithdrawn, *what);
   if (!drains_.load(std::memory_order_acquire)) return;
   std::lock_guard lock(mutex_);
   auto it = told_.find(std::string(server));
--- a/src/testbench/rules.h
+++ b/src/testbench/rules.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "net/loop.h"
+#include "testbench/withdrawal_checker.h"
 
 namespace database_proxy::testbench {
 
@@ -27,12 +28,12 @@
   Micros cold_window{1'000'000};
 };
 
-enum class Rule { kTwoOut, kTooMany, kDrained, kCold, kStale, kKey, kWrongValue, kTwoAnswers };
+enum class Rule { kTwoOut, kTooMany, kDrained, kWithdrawn, kCold, kStale, kKey, kWrongValue, kTwoAnswers };
 std::string_view name_of(Rule rule);
 
 class RuleChecker {
  public:
-  explicit RuleChecker(RuleLimits limits = {}) : limits_(limits) {}
+  explicit RuleChecker(RuleLimits limits = {}) : limits_(limits), withdrawals_(limits.drain_grace) {}
 
   // An attempt's last byte came to `server` at `now`; its first at `begun`.
   void attempt(Micros now, Micros begun, std::string_view request, std::string_view server);
@@ -45,6 +46,8 @@
   // A member of `set` was given a request; `speed` is what its age leaves of its speed, 1 when warm.
   void share(Micros now, std::int64_t set, const std::string& server, double speed);
   void breach(Rule rule, const std::string& what);
+  // The same of drains and of operators' commands, by node.
+  WithdrawalChecker& withdrawals() { return withdrawals_; }
 
   struct Breach {
     Rule rule;
@@ -80,6 +83,7 @@
 
   static constexpr std::size_t kShards = 64;
   RuleLimits limits_;
+  WithdrawalChecker withdrawals_;
   std::array<Shard, kShards> shards_;
   mutable std::mutex mutex_;  // of what follows
   std::unordered_map<std::string, Told> told_;
