A connect that finds no route says nothing of its server

What callers saw: a quarter of the throughput while one connect in ten failed. Cause: ENETUNREACH and EHOSTUNREACH from a connect that does not wait are answers of this machine's own routing, and were taken for the server's: it was left alone for a while. Change: they count as shortages of this machine: the attempt was never sent.

--- a/src/net/system_errors.h
+++ b/src/net/system_errors.h
@@ -26,9 +26,23 @@
   }
 }
 
-// Whether a connection failed for want of something on this machine, which says nothing of the peer.
+// Whether a call that opens a connection failed at once for want of something on this machine, a route
+// included, which says nothing of the peer.
 constexpr bool is_local_shortage(int error) {
-  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM || error == EADDRNOTAVAIL;
+  switch (error) {
+    case EADDRNOTAVAIL:
+    case EAGAIN:
+    case EHOSTUNREACH:  // of a call that does not wait: no route leads there
+    case EMFILE:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+      return true;
+    default:
+      return false;
+  }
 }
 
 inline std::string message_of(int error) { return std::generic_category().message(error); }
