Soak: a server that was put back stays back at every process; files of ended processes

Change: 1.2 s after a return the operator puts the server back once more, which must find nothing to do.

--- a/src/testbench/fault_injection/operator_calls.cpp
+++ b/src/testbench/fault_injection/operator_calls.cpp
@@ -32,7 +32,14 @@
   return "";
 }
 
+void OperatorCalls::confirm_return(const PlannedCall& call) {
+  auto answer = answer_to(call);
+  if (answer == "YES\n")
+    violations_.push_back(fmt::format("{}: {} was put back, and is cordoned again", node_, call.server));
+}
+
 void OperatorCalls::make(const PlannedCall& call) {
+  if (call.kind == CallKind::kConfirmReturn) return confirm_return(call);
   bool is_cordon = call.kind == CallKind::kCordon;
   if (!is_cordon && call.is_known) checker_.on_uncordoning(net::monotonic_now(), node_, call.server);
   auto answer = answer_to(call);
--- a/src/testbench/fault_injection/operator_calls.h
+++ b/src/testbench/fault_injection/operator_calls.h
@@ -28,6 +28,7 @@
 
  private:
   void make(const PlannedCall& call);
+  void confirm_return(const PlannedCall& call);
   std::string answer_to(const PlannedCall& call);
 
   const std::string node_;
--- a/src/testbench/fault_injection/soak_script.cpp
+++ b/src/testbench/fault_injection/soak_script.cpp
@@ -63,12 +63,17 @@
     auto add = [&](int at_ms, CallKind kind, const std::string& id, bool is_known) {
       calls->push_back({at_ms, kind, id, is_known, one_in(2)});
     };
-    for (int at = between(200, 2500); at < length_ms; at += between(600, 3000)) {
+    constexpr int kHoldsEverywhereAfterMs = 1200;
+    for (int at = between(200, 2500); at < length_ms;) {
       add(at, CallKind::kCordon, server, true);
       if (one_in(3)) add(at + between(1, 300), CallKind::kCordon, server, true);
       if (one_in(6)) add(at, CallKind::kCordon, "nobody", false);
       at += between(900, 3000);
       add(at, CallKind::kUncordon, server, true);
+      int pause_ms = between(600, 3000);
+      if (pause_ms > kHoldsEverywhereAfterMs)
+        add(at + kHoldsEverywhereAfterMs, CallKind::kConfirmReturn, server, true);
+      at += pause_ms;
     }
   }
 
--- a/src/testbench/fault_injection/soak_script.h
+++ b/src/testbench/fault_injection/soak_script.h
@@ -34,7 +34,11 @@
 };
 
 // A call of an operator at a node. Calls of one node are made one after another.
-enum class CallKind { kCordon, kUncordon };
+enum class CallKind {
+  kCordon,
+  kUncordon,
+  kConfirmReturn  // puts back once more what was put back over a second ago: it must not be cordoned
+};
 struct PlannedCall {
   int at_ms = 0;
   CallKind kind = CallKind::kCordon;
--- a/src/testbench/process_under_test.cpp
+++ b/src/testbench/process_under_test.cpp
@@ -28,9 +28,12 @@
 using nlohmann::json;
 namespace fs = std::filesystem;
 
-std::string whole_file(const fs::path& path) {
+// What the kernel tells of a process can be opened, and is gone with the process before it is read.
+std::string whole_file(const fs::path& path) try {
   std::ifstream file(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+} catch (const std::ios_base::failure&) {
+  return "";
 }
 
 void write_file(const fs::path& path, const std::string& text) {
