--- a/tests/upgrade/cordon_test.cpp
+++ b/tests/upgrade/cordon_test.cpp
@@ -1,4 +1,7 @@
 // Servers that operators or discovery take out, over replacements of the process, on real processes.
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <csignal>
 #include <filesystem>
 #include <thread>
@@ -121,6 +124,26 @@
   CHECK(requests_under_load(node, kPrimary, 1, milliseconds(500)) == 0);
 }
 
+TEST_CASE(
+    "cordon: a command that neither the socket nor the folder keeps is answered no, and is not in force") {
+  Node node;
+  std::filesystem::remove(node.shared_folder());
+  sock_filter pass_all = BPF_STMT(BPF_RET | BPF_K, 0xffffffff);
+  sock_fprog of_somebody_else{1, &pass_all};
+  REQUIRE(setsockopt(node.listening_socket.get(), SOL_SOCKET, SO_ATTACH_FILTER, &of_somebody_else,
+                     sizeof of_somebody_else) == 0);
+  auto first = start_healthy(node);
+  auto asked_at = Clock::now();
+  CHECK(first->operator_call("cordon " + kPrimary, kCallTimeout).starts_with("NO "));
+  CHECK(Clock::now() - asked_at < kCallTimeout);
+  CHECK(requests_under_load(node, kPrimary, 1) > 0);
+  std::filesystem::create_directory(node.shared_folder());  // it alone keeps one now
+  cordon_primary(*first);
+  end(*first, SIGKILL);
+  auto second = start_healthy(node);
+  CHECK(requests_under_load(node, kPrimary, 1, milliseconds(500)) == 0);
+}
+
 TEST_CASE("cordon: a primary that is put back after an upgrade serves writes at once") {
   Node node;
   auto first = start_healthy(node);
