The test of a lifted cordon forces its order

Change: each list is heard before the next step, and records are looked at in between; the check is as it was.

--- a/tests/upgrade/cordon_test.cpp
+++ b/tests/upgrade/cordon_test.cpp
@@ -61,6 +61,15 @@
   process.wait();
 }
 
+// Processes look at each other's records every 50 ms.
+constexpr auto kSeveralLooks = milliseconds(250);
+
+int lines_with(const std::string& log, std::string_view text) {
+  int lines = 0;
+  for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1)) ++lines;
+  return lines;
+}
+
 constexpr auto kGrace = milliseconds(1100);  // from a call on, and 50 ms more for the sockets
 
 void cordon_primary(ProcessUnderTest& process) {
@@ -166,10 +175,17 @@
   REQUIRE(second->operator_call("cordon s1-3", kCallTimeout).starts_with("YES"));  // the only other replica
   // It goes on as a stopped process: its record says cordoned until the end.
   first->signal(SIGSTOP);
-  node.servers.steer({{"do", "remove"}, {"server", kReplica}});
+  auto steer_and_be_heard = [&](const std::string& what, const std::string& server) {
+    auto lists = [&] { return lines_with(second->log(), "list version"); };
+    auto before = lists();
+    node.servers.steer({{"do", what}, {"server", server}});
+    REQUIRE(soon([&] { return lists() > before; }));
+  };
+  steer_and_be_heard("remove", kReplica);
   REQUIRE(second->operator_call("uncordon " + kReplica, kCallTimeout).starts_with("YES"));
-  node.servers.steer({{"do", "up"}, {"server", "s1-3"}});  // a list on which marks are looked through
-  node.servers.steer({{"do", "up"}, {"server", kReplica}});
+  steer_and_be_heard("up", "s1-3");  // a list on which marks are looked through
+  std::this_thread::sleep_for(kSeveralLooks);
+  steer_and_be_heard("up", kReplica);
   CHECK(requests_under_load(node, kReplica, 0, milliseconds(1000)) > 0);
 }
 
