A new process accepts once those beside it have heard of it: descriptors of one

Cause: a new process accepted as soon as it could serve. The running one looks at the records of others every 50 ms, and up to then held as many descriptors as one process by itself may, and accepted more.

Change: a record names the processes whose records its writer has read. A new process accepts, and answers health with YES, once each other that accepts clients names it, 0.5 s at most (one that stands still, or is of an earlier version). The same closes the up to 50 ms in which a session might write at the new process while the old one took itself for the only one.

Evidence: the new test "upgrade: clients are not accepted before the running process makes room for them" holds the old process still while the new one starts; it fails on the program before, which says "ready to serve" at once, and passes now with one worker and with two.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -140,6 +140,9 @@
   process.share_limits_with = [&serving](const proxy::OtherProcessesUsage& others) {
     serving.share_limits_with(others);
   };
+  process.set_waiting_for_others = [&serving](bool is_waiting) {
+    serving.set_waiting_for_others(is_waiting);
+  };
   process.cancel = [&serving](std::uint32_t number, std::uint32_t secret) { serving.cancel(number, secret); };
   return process;
 }
--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -23,6 +23,9 @@
 // The answer to a command is owed within a second: so often and so long its keeping is tried before.
 constexpr int kKeepAttempts = 15;
 constexpr net::Micros kKeepRetry = 50ms;
+// The processes beside this one read its record some ten times a second; one that does not is not waited for
+// any longer.
+constexpr net::Micros kAcknowledgementTimeout = 500ms;
 // The standard streams are no listening sockets.
 constexpr int kFirstInheritedDescriptor = 3;
 
@@ -67,7 +70,10 @@
   predecessor_ = owner_->other_owner();
 }
 
-Operations::~Operations() { loop_.cancel(&owner_timer_); }
+Operations::~Operations() {
+  loop_.cancel(&owner_timer_);
+  loop_.cancel(&others_timer_);
+}
 
 void Operations::on_serving() {
   if (!owner_) return;
@@ -123,6 +129,7 @@
   host.on_others_changed = [this](const handover::OtherProcesses& others) {
     others_ = others;
     share_with_others();
+    if (others_.know_this_process) stop_waiting_for_others();
   };
   host.cancel = [this](const handover::ForwardedCancel& cancel) {
     process_.cancel(cancel.session_number, cancel.secret);
@@ -131,6 +138,29 @@
   process_.share_limits_with({0, 0, true});
   exchange_.emplace(loop_, shared_folder_, inherited_listener_, std::move(host), log_);
   share_with_others();
+  if (!others_.know_this_process) wait_for_others();
+}
+
+// Until they know of this process, the others hold more than their part of what all share.
+void Operations::wait_for_others() {
+  process_.set_waiting_for_others(true);
+  others_timer_ = loop_.at(loop_.now() + kAcknowledgementTimeout, [this] {
+    log_(net::Level::kWarning, "a process with the same listening socket does not read this one's record");
+    stop_waiting_for_others();
+  });
+}
+
+void Operations::stop_waiting_for_others() {
+  if (others_timer_ == net::Loop::kNoTimer) return;
+  loop_.cancel(&others_timer_);
+  process_.set_waiting_for_others(false);
+}
+
+std::string Operations::unhealthy_reason() const {
+  auto reason = process_.unhealthy_reason();
+  bool is_waiting = others_timer_ != net::Loop::kNoTimer;
+  if (reason.empty() && is_waiting) return "a process with the same listening socket has not heard of it yet";
+  return reason;
 }
 
 void Operations::share_with_others() {
@@ -224,7 +254,7 @@
                         const operator_endpoint::OperatorListener::Answer& answer) {
   switch (command.kind) {
     case OperatorCommand::Kind::kHealth: {
-      auto reason = process_.unhealthy_reason();
+      auto reason = unhealthy_reason();
       return answer(reason.empty() ? operator_endpoint::yes() : operator_endpoint::no(reason));
     }
     case OperatorCommand::Kind::kCordon:
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -33,6 +33,7 @@
     std::function<void(discovery::EndpointListUpdate)> apply_change;
     std::function<std::size_t()> descriptors_held;
     std::function<void(const proxy::OtherProcessesUsage&)> share_limits_with;
+    std::function<void(bool)> set_waiting_for_others;          // while it is set, no client is accepted
     std::function<void(std::uint32_t, std::uint32_t)> cancel;  // of a session number and its secret
   };
 
@@ -58,6 +59,9 @@
   void watch_owner();
   void share_with_others();
   void start_exchange();
+  void wait_for_others();
+  void stop_waiting_for_others();
+  std::string unhealthy_reason() const;
   bool merge_cordons(const endpoint_list::CordonMarks& marks, pid_t from);
   bool add_endpoints(const endpoint_list::EndpointListView& view);
   // A command whose answer waits until later processes will know of it.
@@ -83,6 +87,7 @@
   net::Loop::TimerId owner_timer_ = net::Loop::kNoTimer;
   pid_t predecessor_ = 0;  // that served the socket when this process started; 0: none did
   handover::OtherProcesses others_;
+  net::Loop::TimerId others_timer_ = net::Loop::kNoTimer;  // runs while the others are waited for
   Process process_;
   endpoint_list::EndpointOverlay overlay_;
   std::optional<handover::ProcessExchange> exchange_;
--- a/src/handover/process_exchange.cpp
+++ b/src/handover/process_exchange.cpp
@@ -112,6 +112,7 @@
 void ProcessExchange::look() {
   OtherProcesses others;
   std::vector<std::string> ended;
+  std::set<pid_t> running;
   static const std::map<std::string, ProcessRecord> kNoRecords;
   bool has_news = learn_from_socket();
   for (auto& [name, record] : folder_ ? folder_->read_others() : kNoRecords) {
@@ -123,8 +124,13 @@
     carry_out_cancels(record);
     ++others.count;
     others.descriptors += record.descriptors;
+    running.insert(record.process.pid);
+    bool accepts_clients = record.stage != ProcessStage::kShuttingDown;
+    if (accepts_clients && !record.known_processes.contains(own_.process.pid))
+      others.know_this_process = false;
   }
   bool has_changed = std::exchange(others_, others) != others;
+  has_news |= std::exchange(own_.known_processes, running) != running;
   if (has_changed) host_.on_others_changed(others);
   has_news |= others.count > 0 && difference(host_.descriptors(), own_.descriptors) >= kDescriptorStep;
   is_on_socket_ = is_on_socket_ && socket_record_.is_kept();
--- a/src/handover/process_exchange.h
+++ b/src/handover/process_exchange.h
@@ -22,6 +22,8 @@
 struct OtherProcesses {
   std::size_t count = 0;
   std::size_t descriptors = 0;
+  // Each that accepts clients has read this process's record, and so keeps to its part of what they share.
+  bool know_this_process = true;
   bool operator==(const OtherProcesses&) const = default;
 };
 
--- a/src/handover/process_record.cpp
+++ b/src/handover/process_record.cpp
@@ -57,6 +57,7 @@
   record.endpoints = view_from(body);  // absent in records of earlier versions
   for (auto& cancel : body.at("cancels"))
     record.cancels.push_back({micros_from(cancel.at(0)), cancel.at(1), cancel.at(2)});
+  record.known_processes = body.value("known_processes", record.known_processes);
   return record;
 }
 
@@ -77,7 +78,8 @@
                {"discovery", record.endpoints.service},
                {"generation", record.endpoints.generation},
                {"usable", record.endpoints.usable},
-               {"cancels", cancels_to_json(record.cancels)}};
+               {"cancels", cancels_to_json(record.cancels)},
+               {"known_processes", record.known_processes}};
   auto text = body.dump(-1, ' ', false, json::error_handler_t::replace);
   return title_of(text) + text;
 }
--- a/src/handover/process_record.h
+++ b/src/handover/process_record.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,7 @@
   endpoint_list::CordonMarks cordons;
   endpoint_list::EndpointListView endpoints;
   std::vector<ForwardedCancel> cancels;
+  std::set<pid_t> known_processes;  // whose records the writer has read, as far as they run
 };
 
 // Holds as many marks as there may be, with long ids. A larger file is not of this program.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -409,7 +409,7 @@
   if (others_.processes > 0) give_way_to_others();
   trim_idle();
   dispatcher_.on_iteration_end();
-  if (!was_ready_ && dispatcher_.ready()) {
+  if (!was_ready_ && !is_waiting_for_others_ && dispatcher_.ready()) {
     was_ready_ = true;
     start_accepting();
     if (!siblings_) log_(net::Level::kInfo, "ready to serve");
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -82,6 +82,8 @@
   void apply_endpoint_list(discovery::EndpointListUpdate update, bool is_restart = false);
   // Other processes with the same listening socket run, and count as one proxy with this one.
   void share_limits_with(const OtherProcessesUsage& others);
+  // While it is set no client of an inherited socket is accepted.
+  void set_waiting_for_others(bool is_waiting) { is_waiting_for_others_ = is_waiting; }
   std::size_t descriptors_held() const { return descriptors_in_use(); }
   // For one of several, all in its own thread.
   void list(discovery::EndpointListUpdate update, bool cached) {
@@ -158,6 +160,7 @@
   std::array<std::uint32_t, 64> secrets_{};  // drawn ahead: one system call for many clients
   std::size_t secrets_left_ = 0;
   bool accepts_again_ = false, was_ready_ = false, running_ = false;
+  bool is_waiting_for_others_ = false;
   bool is_accepting_ = false, has_discovery_answered_ = false;
   Micros started_at_;
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
--- a/src/workers/worker_pool.cpp
+++ b/src/workers/worker_pool.cpp
@@ -350,6 +350,17 @@
 }
 
 void WorkerPool::on_worker_ready() {
+  is_worker_ready_ = true;
+  start_serving();
+}
+
+void WorkerPool::set_waiting_for_others(bool is_waiting) {
+  is_waiting_for_others_ = is_waiting;
+  start_serving();
+}
+
+void WorkerPool::start_serving() {
+  if (!is_worker_ready_ || is_waiting_for_others_ || std::exchange(is_serving_, true)) return;
   log_(net::Level::kInfo, "ready to serve");
   if (acceptor_ && !stopping_) acceptor_->start();
   on_ready();
--- a/src/workers/worker_pool.h
+++ b/src/workers/worker_pool.h
@@ -63,6 +63,7 @@
   // In the control thread, as a proxy by itself has them.
   void apply_change(discovery::EndpointListUpdate change) { told(std::move(change), false); }
   void share_limits_with(const proxy::OtherProcessesUsage& others);
+  void set_waiting_for_others(bool is_waiting);
   std::size_t descriptors_held() const;
   void cancel(std::uint32_t number, std::uint32_t secret);
   std::function<void(std::uint32_t, std::uint32_t)> on_unknown_cancel = [](auto, auto) {};
@@ -89,6 +90,7 @@
   int connections_per_server() const;
   void ended();  // a worker has stopped
   void on_worker_ready();
+  void start_serving();
   void on_cancel_not_found(std::uint32_t number, std::uint32_t secret);
   void note_usable_servers(const discovery::EndpointListUpdate& update);
 
@@ -109,6 +111,7 @@
   net::TaskQueue tasks_;
   std::atomic<bool> logged_ready_{false};
   bool stopping_ = false, has_discovery_answered_ = false;
+  bool is_worker_ready_ = false, is_waiting_for_others_ = false, is_serving_ = false;
   Micros started_at_;
   std::unordered_set<std::string> usable_servers_;  // those that are up
   std::size_t running_ = 0;
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -11,6 +11,8 @@
 
 namespace database_proxy::test {
 
+constexpr auto kUnknownToOthers = "does not read this one's record";
+
 TEST_CASE("upgrade: a process serves on the listening socket it inherits, and its successor beside it") {
   Node node;
   auto first = node.start();
@@ -98,7 +100,7 @@
     CHECK(figures.served > 1500);
     CHECK(figures.failed == 0);
     CHECK(figures.unanswered == 0);
-    CHECK(node.servers.rules().total() == 0);
+    CHECK(node.servers.rules().breaches_in_words() == "");
   }
 }
 
@@ -231,7 +233,7 @@
       return third->operator_call("uncordon " + victim, kCallTimeout) == "YES it was not cordoned\n";
     }));
     CHECK(soon([&] { return requests_during(node, victim, [&] { ask_many(node, 50); }) > 0; }));
-    CHECK(node.servers.rules().total() == 0);
+    CHECK(node.servers.rules().breaches_in_words() == "");
   }
 }
 
@@ -335,6 +337,26 @@
   }
   CHECK(is_healthy(*first));
   CHECK(is_healthy(*second));
+  CHECK_THAT(second->log(), !Catch::Contains(kUnknownToOthers));
+}
+
+TEST_CASE("upgrade: clients are not accepted before the running process makes room for them") {
+  for (int workers : {1, 2}) {
+    INFO("workers " << workers);
+    Node node;
+    auto first = node.start();
+    REQUIRE(becomes_healthy(*first));
+    first->signal(SIGSTOP);
+    auto options = node.options();
+    if (workers > 1) options.operator_file = {{"workers", {{"count", workers}}}};
+    auto second = node.start(options);
+    CHECK(becomes_healthy(*second));
+    first->signal(SIGCONT);
+    auto log = second->log();
+    INFO(log);
+    REQUIRE_THAT(log, Catch::Contains(kUnknownToOthers));
+    CHECK(log.find(kUnknownToOthers) < log.find("ready to serve"));
+  }
 }
 
 }  // namespace database_proxy::test
