Test of two processes' descriptors: the second has none of the test's own

The list of open descriptors at the moment of the failure: 104 sockets in the second process, of which 60 are the test's connections to the first, opened without SOCK_CLOEXEC and inherited. The processes' own descriptors were 102 of 160. What mends, a new process that accepts before the others make room, is shown by the order that its own test forces, and by that only.

Change: the test's sockets are not inherited. The check and its bound stay; 100 clients instead of 60 are on the first process, more than it may keep.

--- a/tests/proxy/rig.h
+++ b/tests/proxy/rig.h
@@ -51,7 +51,8 @@
   }
   static Peer to(int port) {
     auto address = *net::parse_address("127.0.0.1:" + std::to_string(port));
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);  // processes that the test starts have none of it
     REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address.storage), address.length) == 0);
     return Peer(fd);
   }
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -323,8 +323,9 @@
   auto first = node.start(options);
   REQUIRE(becomes_healthy(*first));
   std::vector<Client> crowd;
-  crowd.reserve(60);
-  for (int i = 0; i < 60; ++i) crowd.emplace_back(node.port());
+  constexpr int kCrowd = 100;  // more than the first may keep once there are two
+  crowd.reserve(kCrowd);
+  for (int i = 0; i < kCrowd; ++i) crowd.emplace_back(node.port());
   options = node.options();
   options.sockets = kLimit;
   auto second = node.start(options);
