Records under TMPDIR are read and written by a thread: a busy disk held up the loop

Cause: the loop itself wrote this process's record, and looked at those of others 20 times a second. Where the disk is busy, creating and renaming a file takes up to seconds, and all clients, operators and notices wait.

What the socket keeps is written by the loop as before. A record whose write is under way is not begun anew; YES needs a finished one where the socket keeps none. The folder's descriptor is counted.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -105,6 +105,7 @@
     return shown;
   };
   options->reserved_descriptors = address_.empty() ? 0 : operator_endpoint::kListenerDescriptors;
+  if (inherited_listener_ >= 0) options->reserved_descriptors += handover::kFolderDescriptors;
 }
 
 void Operations::open(Process process) {
--- a/src/handover/process_exchange.cpp
+++ b/src/handover/process_exchange.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 
 // A cordon holds at every process within a second, and a cancel within 0.1 s of its coming.
-constexpr Micros kLookInterval = 50ms;
+constexpr Micros kLookInterval = 25ms, kFolderInterval = 25ms;
 // Records that ended processes left behind are looked for so often.
 constexpr Micros kStaleCheckInterval = 30s;
 // Every process has read a forwarded cancel by then.
@@ -42,7 +42,8 @@
       started_at_(net::monotonic_now()),
       stale_removed_at_(started_at_) {
   own_.process = ProcessIdentity::own();
-  if (!folder.empty()) folder_.emplace(folder, inode_of(listener), own_.process, log);
+  if (!folder.empty())
+    folder_.emplace(RecordFolder(folder, inode_of(listener), own_.process, log), kFolderInterval);
   look_regularly();  // cordons hold from the first decision on
   remove_stale(started_at_);
 }
@@ -52,9 +53,20 @@
 ProcessExchange::~ProcessExchange() {
   loop_.cancel(&timer_);
   if (!folder_) return;
-  if (!is_in_folder_) folder_->write(own_);
+  auto& folder = folder_->stop();
+  if (!is_in_folder()) folder.write(own_);
   bool is_needed = others_.count > 0 || (!is_on_socket_ && !own_.cordons.empty());
-  if (!is_needed) folder_->remove_own();
+  if (!is_needed) folder.remove_own();
+}
+
+bool ProcessExchange::is_in_folder() const {
+  return folder_ && folder_->write_status() == RecordFolderThread::WriteStatus::kWritten;
+}
+
+// What could not be kept is tried again.
+bool ProcessExchange::is_publishing_due() const {
+  bool has_failed = folder_ && folder_->write_status() == RecordFolderThread::WriteStatus::kFailed;
+  return !is_on_socket_ || has_failed;
 }
 
 void ProcessExchange::set_stage(ProcessStage stage) {
@@ -81,7 +93,7 @@
   own_.descriptors = host_.descriptors();
   own_.cordons = host_.cordons();
   own_.endpoints = host_.endpoints();
-  is_in_folder_ = folder_ && folder_->write(own_);
+  if (folder_) folder_->write(own_);
   is_on_socket_ = socket_record_.keep(own_);
 }
 
@@ -113,9 +125,9 @@
   OtherProcesses others;
   std::vector<std::string> ended;
   std::set<pid_t> running;
-  static const std::map<std::string, ProcessRecord> kNoRecords;
+  auto records = folder_ ? folder_->others() : std::make_shared<const RecordFolderThread::Records>();
   bool has_news = learn_from_socket();
-  for (auto& [name, record] : folder_ ? folder_->read_others() : kNoRecords) {
+  for (auto& [name, record] : *records) {
     has_news |= take_over(record);
     if (state_of(record.process) == ProcessState::kGone) {
       ended.push_back(name);
@@ -134,8 +146,7 @@
   if (has_changed) host_.on_others_changed(others);
   has_news |= others.count > 0 && difference(host_.descriptors(), own_.descriptors) >= kDescriptorStep;
   is_on_socket_ = is_on_socket_ && socket_record_.is_kept();
-  bool is_published = is_on_socket_ && (is_in_folder_ || !folder_);
-  if (!is_published || !ended.empty() || has_changed || has_news) publish();
+  if (is_publishing_due() || has_changed || has_news) publish();
   // Their marks stand in this process's record by now.
   if (!are_cordons_kept()) return;
   for (auto& name : ended) folder_->remove(name);
--- a/src/handover/process_exchange.h
+++ b/src/handover/process_exchange.h
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-#include "handover/record_folder.h"
+#include "handover/record_folder_thread.h"
 #include "handover/socket_record.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -54,7 +54,7 @@
   // After they have changed.
   void publish();
   // Whether a process that comes later will know each cordon of this one, whatever becomes of this one.
-  bool are_cordons_kept() const { return is_on_socket_ || is_in_folder_; }
+  bool are_cordons_kept() const { return is_on_socket_ || is_in_folder(); }
   // A cancel request names a session that this process does not have.
   void forward_cancel(std::uint32_t session_number, std::uint32_t secret);
   // Reads what the others have written.
@@ -62,6 +62,8 @@
 
  private:
   void look_regularly();
+  bool is_in_folder() const;
+  bool is_publishing_due() const;
   bool take_over(const ProcessRecord& record);
   void remove_stale(Micros now);
   void carry_out_cancels(const ProcessRecord& record);
@@ -70,12 +72,12 @@
   net::Loop& loop_;
   Host host_;
   ProcessRecord own_;
-  std::optional<RecordFolder> folder_;
+  std::optional<RecordFolderThread> folder_;
   SocketRecord socket_record_;
   OtherProcesses others_;
   Micros started_at_, stale_removed_at_;
-  std::map<pid_t, Micros> last_cancel_;               // by the process that received it
-  bool is_in_folder_ = false, is_on_socket_ = false;  // the last record is
+  std::map<pid_t, Micros> last_cancel_;  // by the process that received it
+  bool is_on_socket_ = false;            // the last record is
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;
 };
 
--- a/src/testbench/fault_injection/fault_control.h
+++ b/src/testbench/fault_injection/fault_control.h
@@ -25,8 +25,9 @@
   kFolderError,        // EIO where a file is read or written
   kTornWrite,          // a file takes half of what is written, without an error
   kHeldUpBeforeEnd,    // close() and shutdown() of a socket come 0.15 s late
+  kSlowFolder,         // a file in the shared folder is opened 1.2 s late
 };
-constexpr std::size_t kCallFaults = 12;
+constexpr std::size_t kCallFaults = 13;
 
 struct FaultControl {
   // One call in so many fails; 0: none.
--- a/src/testbench/fault_injection/faulty_calls.cpp
+++ b/src/testbench/fault_injection/faulty_calls.cpp
@@ -24,7 +24,7 @@
 using database_proxy::testbench::CallFault;
 using database_proxy::testbench::FaultControl;
 
-constexpr long kHeldUpNanos = 150'000'000;
+constexpr long kHeldUpNanos = 150'000'000, kSlowFolderNanos = 200'000'000;
 constexpr std::int64_t kMicrosPerSecond = 1'000'000, kNanosPerMicro = 1000;
 
 template <class Function>
@@ -82,10 +82,7 @@
   return fstat(file, &info) == 0 && S_ISSOCK(info.st_mode);
 }
 
-void hold_up() {
-  timespec delay{0, kHeldUpNanos};
-  nanosleep(&delay, nullptr);
-}
+void hold_up(timespec delay = {0, kHeldUpNanos}) { nanosleep(&delay, nullptr); }
 
 // Only what lies in the folder that processes share: the configuration is the platform's.
 bool is_in_shared_folder(const char* path) {
@@ -177,6 +174,7 @@
   mode_t mode = (flags & O_CREAT) != 0 ? va_arg(arguments, mode_t) : 0;
   va_end(arguments);
   bool is_shared = is_in_shared_folder(path);
+  if (is_shared && is_hit(CallFault::kSlowFolder)) hold_up({1, kSlowFolderNanos});
   if (is_shared && (flags & O_CREAT) != 0 && fails(CallFault::kFolderFull, {ENOSPC})) return -1;
   if (is_shared && fails(CallFault::kFolderError, {EIO})) return -1;
   return call(path, flags, mode);
--- a/tests/upgrade/call_faults_test.cpp
+++ b/tests/upgrade/call_faults_test.cpp
@@ -132,6 +132,25 @@
   CHECK(old->wait() == 0);
 }
 
+TEST_CASE("calls: a disk that takes over a second holds up neither operators nor clients") {
+  FaultyNode node;
+  auto process = node.start_faulty();
+  REQUIRE(becomes_healthy(*process));
+  node.faults.control().rate(CallFault::kSlowFolder) = 1;
+  auto load_options = node.load(std::chrono::milliseconds(3000));
+  load_options.rate = 400;
+  testbench::LoadFigures figures;
+  std::thread load([&] { figures = testbench::run_load(load_options); });
+  auto victim = node.servers.servers().back();
+  for (std::string command : {"cordon ", "uncordon "}) {
+    CHECK(process->operator_call(command + victim, kCallTimeout).starts_with("YES"));
+    CHECK(is_healthy(*process));
+  }
+  load.join();
+  CHECK(figures.failed + figures.unanswered == 0);
+  CHECK(figures.longest_gap_ms < 500);
+}
+
 TEST_CASE("calls: failing and short calls under load lose no request") {
   for (auto [fault, one_in] : {std::pair(CallFault::kShortWrite, 8), std::pair(CallFault::kInterrupted, 4),
                                std::pair(CallFault::kAccept, 3), std::pair(CallFault::kSocket, 3),
