--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -23,7 +23,7 @@
 // The answer to a command is owed within a second: so often and so long its keeping is tried before.
 constexpr int kKeepAttempts = 15;
 constexpr net::Micros kKeepRetry = 50ms;
-// The processes beside this one read its record some ten times a second; one that does not is not waited for
+// The processes beside this one read its record 40 times a second; one that does not is not waited for
 // any longer.
 constexpr net::Micros kAcknowledgementTimeout = 500ms;
 // The standard streams are no listening sockets.
--- a/src/handover/process_exchange.h
+++ b/src/handover/process_exchange.h
@@ -1,6 +1,6 @@
 // Keeps the processes that hold one listening socket informed of each other: cordons, endpoint lists, the
 // descriptors that each holds, cancel requests that came to the wrong one. Each writes a record into a folder
-// that all have, and reads those of the others some ten times a second. What must outlast any process and any
+// that all have, and reads those of the others 40 times a second. What must outlast any process and any
 // failure of the folder, cordons and the newest list, the socket itself keeps as well. Owned and used by the
 // thread of its loop.
 #pragma once
