Test of a stopped owner: its successors hold the job before they are told to end

Cause, by the log of a failing run: the token that the test compares with was the stopped owner's, so the first turn was over at once, with the first successor's grant. The second turn told the same process to end 60 ms after its start, before the group had heard of it, and had told it first 80 ms after its grant, before it held the job. It gave nothing back; started again, it went on with its lease, which had not run out, and no newer token was due.

Change: each turn waits until a successor holds the job, reads its token, and only then tells it to end; a newer one than that is waited for, which is more than was asked before.

--- a/tests/group/processes_test.cpp
+++ b/tests/group/processes_test.cpp
@@ -195,13 +195,16 @@
   auto first = f->owner("list");
   REQUIRE(f->soon([&] { return f.holds(first, "list"); }));
   std::uint64_t token = 0;
-  for (auto& o : f->owners())
-    if (o.at("job") == "list") token = o.at("token");
   f->pause(first);
-  REQUIRE(f->soon([&] { return !f->owner("list").empty() && f->owner("list") != first; }));
   // Its leases go from one to the other, twice.
   for (int i = 0; i < 2; ++i) {
-    auto now = f->owner("list");
+    std::string now;
+    REQUIRE(f->soon([&] {
+      now = f->owner("list");
+      return !now.empty() && now != first && f.holds(now, "list");
+    }));
+    for (auto& o : f->owners())
+      if (o.at("job") == "list") token = o.at("token");
     f->terminate(now);
     f->start(now);
     REQUIRE(f->soon([&] {
