A process that is told to end before it serves does not claim the socket

What was seen, by reading of the change and then by the test: a new process that is told to end while it waits for the others became ready in the half second that it still runs, and made itself the socket's owner. Until it had ended and the old one claimed the socket again, an old process that was told to end would have taken it for its successor.

Cause: on_serving() did not ask whether the process shuts down. A process that found its data servers late could do so before; the wait of up to 0.5 s for the others has made it likelier.

Change: it does not claim the socket while it shuts down. The second, equal assignment of one callback goes.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -76,7 +76,7 @@
 }
 
 void Operations::on_serving() {
-  if (!owner_) return;
+  if (!owner_ || is_shutting_down_) return;
   if (exchange_) exchange_->set_stage(handover::ProcessStage::kServing);
   if (!owner_->claim()) log_(net::Level::kWarning, "the listening socket does not take an owner");
   watch_owner();
@@ -90,6 +90,7 @@
 }
 
 proxy::ShutdownMode Operations::on_shutdown() {
+  is_shutting_down_ = true;
   loop_.cancel(&owner_timer_);
   if (exchange_) exchange_->set_stage(handover::ProcessStage::kShuttingDown);
   bool has_successor = owner_ && owner_->is_served_by_other();
@@ -122,7 +123,6 @@
     log_(net::Level::kWarning, "TMPDIR is not set: a successor learns nothing of cancel requests and limits");
   handover::ProcessExchange::Host host;
   host.cordons = [this] { return overlay_.cordons(); };
-  host.endpoints = [this] { return overlay_.view(); };
   host.merge_cordons = [this](auto& marks, pid_t from) { return merge_cordons(marks, from); };
   host.endpoints = [this] { return overlay_.view(); };
   host.add_endpoints = [this](auto& view) { return add_endpoints(view); };
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -85,6 +85,7 @@
   int inherited_listener_;
   std::optional<handover::ListenerOwner> owner_;  // where the socket is inherited
   net::Loop::TimerId owner_timer_ = net::Loop::kNoTimer;
+  bool is_shutting_down_ = false;
   pid_t predecessor_ = 0;  // that served the socket when this process started; 0: none did
   handover::OtherProcesses others_;
   net::Loop::TimerId others_timer_ = net::Loop::kNoTimer;  // runs while the others are waited for
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -341,6 +341,21 @@
   CHECK_THAT(second->log(), !Catch::Contains(kUnknownToOthers));
 }
 
+TEST_CASE("upgrade: a process that is told to end before it serves does not claim the socket") {
+  Node node;
+  auto first = node.start();
+  REQUIRE(becomes_healthy(*first));
+  REQUIRE(fcntl(node.listening_socket.get(), F_GETOWN) == first->pid());
+  first->signal(SIGSTOP);  // the second waits for it, and it cannot claim the socket again
+  auto second = node.start();
+  REQUIRE(soon([&] { return second->log().find("operators are served") != std::string::npos; }));
+  second->signal(SIGTERM);
+  CHECK(second->wait() == 0);
+  CHECK(fcntl(node.listening_socket.get(), F_GETOWN) == first->pid());
+  first->signal(SIGCONT);
+  CHECK(is_healthy(*first));
+}
+
 TEST_CASE("upgrade: clients are not accepted before the running process makes room for them") {
   for (int workers : {1, 2}) {
     INFO("workers " << workers);
