Rule checker: a cold server's bound comes from the usual load and the stated slack

Trace (the breach now names what each server of the set got): in that second all three replicas are cold and the one warm server, the primary, is cordoned at some nodes. It gets 17 to 30 requests, the replicas 28 to 45 each, of 750 that clients send. The check took those 17 to 30 for what a warm server usually gets, so it allowed 11 to 20.

What was passed over before is judged: fewer than 30 requests, and seconds in which no server is warm and the usual load is stated.

The new tests did not compile without the change; 25 and 26 requests at a cold server next to two with 20 were not judged at all.

--- a/src/testbench/fake_servers.cpp
+++ b/src/testbench/fake_servers.cpp
@@ -662,7 +662,7 @@
 // ---- the whole
 // ----------------------------------------------------------------------------------------------
 
-FakeServers::FakeServers(FakeServersOptions options) : options_(std::move(options)) {
+FakeServers::FakeServers(FakeServersOptions options) : options_(std::move(options)), rules_(options_.limits) {
   std::stable_sort(options_.script.begin(), options_.script.end(),
                    [](auto& a, auto& b) { return a.at < b.at; });
   unix_ms_at(Micros(0));
--- a/src/testbench/fake_servers.h
+++ b/src/testbench/fake_servers.h
@@ -34,6 +34,7 @@
   int discovery_port = 0, steer_port = 0;  // 0: the system picks one
   std::uint64_t seed = 1;
   ModelOptions model;
+  RuleLimits limits;
   // The list service: what a call costs it, one after another, and how many may wait; more are told 503.
   Micros list_cost{0};
   int list_cap = 0;  // 0: any number
--- a/src/testbench/rules.h
+++ b/src/testbench/rules.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -24,8 +25,8 @@
   Micros drain_grace{1'050'000};  // after word of a drain, 50 ms for the sockets included
   int attempts = 8;               // of one request
   double cold_multiple = 3;       // of what a member's age allows it
-  int cold_least = 30;            // requests in a window below which a share says nothing
   Micros cold_window{1'000'000};
+  double usual_rate = 0;  // requests a second of a warm server; 0: what the warm ones get tells it
 };
 
 enum class Rule { kTwoOut, kTooMany, kDrained, kWithdrawn, kCold, kStale, kKey, kWrongValue, kTwoAnswers };
@@ -76,12 +77,19 @@
     bool takes = true;
     Micros last_send{-1};
   };
+  struct Given {
+    int requests = 0;
+    double speed = 0;  // the largest
+  };
   struct Window {
     Micros begun{0};
-    std::map<std::string, std::pair<int, double>> given;  // requests, and the largest speed
+    std::map<std::string, Given> given;  // by server
   };
   Shard& shard(std::string_view request) { return shards_[std::hash<std::string_view>{}(request) % kShards]; }
   void judge(const Window& window);
+  // What a warm server gets in a window; none: nothing tells it.
+  std::optional<double> usual_requests(const Window& window) const;
+  static std::string in_words(const Window& window);
 
   static constexpr std::size_t kShards = 64;
   RuleLimits limits_;
--- a/tests/testbench/lab_test.cpp
+++ b/tests/testbench/lab_test.cpp
@@ -72,6 +72,35 @@
   CHECK(play(0) == 0);
 }
 
+TEST_CASE("rules: few requests at a cold member are judged too, with the slack that few are allowed") {
+  auto breaches = [](int cold) {
+    RuleChecker rules;
+    rules.share(ms(0), 1, "c", 0.2);
+    for (int i = 0; i < 40; ++i) rules.share(ms(i), 1, i % 2 ? "w1" : "w2", 1);
+    for (int i = 1; i < cold; ++i) rules.share(ms(i), 1, "c", 0.2);
+    rules.share(ms(1100), 1, "w1", 1);
+    return count(rules, Rule::kCold);
+  };
+  CHECK(breaches(25) == 0);  // 3 times 0.2 of 20 are 12, with 3 times the root and 3 more 25.4
+  CHECK(breaches(26) == 1);
+}
+
+TEST_CASE("rules: where the usual load is known, a cold member's part is of that, whoever else is out") {
+  auto breaches = [](int cold, int warm) {
+    RuleLimits limits;
+    limits.usual_rate = 150;
+    RuleChecker rules(limits);
+    for (int i = 0; i < cold; ++i) rules.share(ms(i), 1, "c", 0.2);
+    for (int i = 0; i < warm; ++i) rules.share(ms(i), 1, "w", 1);
+    rules.share(ms(1100), 1, "w", 1);
+    return count(rules, Rule::kCold);
+  };
+  CHECK(breaches(110, 10) == 0);  // 3 times 0.2 of 150 are 90, with twice the root and 2 more 111
+  CHECK(breaches(112, 10) == 1);
+  CHECK(breaches(112, 900) == 1);
+  CHECK(breaches(112, 0) == 1);
+}
+
 TEST_CASE("model: replicas lag, roles and lives decide, cores fill up, a cold server is slow") {
   ModelOptions o;
   o.lag = ms(50);
