Told to end, the socket's owner gives it up, and another process that serves claims it

Change: a process that is told to end as the owner marks the socket as given up (F_SETSIG of the open file description, which all holders share and which needs no folder). Each that serves looks every 0.1 s already whether the owner has ended; a mark counts as that. The ending process looks every 25 ms whether another one serves, and then hands its clients over, within the time that counts from its SIGTERM. The same happens where a successor gets ready only after the SIGTERM.

--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -140,6 +140,7 @@
   process.share_limits_with = [&serving](const proxy::OtherProcessesUsage& others) {
     serving.share_limits_with(others);
   };
+  process.hand_over = [&serving] { serving.shut_down(proxy::ShutdownMode::kSuccessorServes); };
   process.set_waiting_for_others = [&serving](bool is_waiting) {
     serving.set_waiting_for_others(is_waiting);
   };
--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -20,6 +20,8 @@
 
 // A process that serves takes over the socket of one that has ended within this.
 constexpr net::Micros kOwnerCheckInterval = 100ms;
+// A process that is ending looks so often whether another one serves by now.
+constexpr net::Micros kSuccessorCheckInterval = 25ms;
 // The answer to a command is owed within a second: so often and so long its keeping is tried before.
 constexpr int kKeepAttempts = 15;
 constexpr net::Micros kKeepRetry = 50ms;
@@ -82,9 +84,9 @@
   watch_owner();
 }
 
-// The newest process that serves has claimed the socket last. Where that one has ended, this one does again.
+// The newest process that serves has claimed the socket last. Where that one ends, this one does again.
 void Operations::watch_owner() {
-  if (owner_->is_abandoned()) owner_->claim();
+  if (owner_->is_vacant()) owner_->claim();
   share_with_others();
   owner_timer_ = loop_.at(loop_.now() + kOwnerCheckInterval, [this] { watch_owner(); });
 }
@@ -93,8 +95,20 @@
   is_shutting_down_ = true;
   loop_.cancel(&owner_timer_);
   if (exchange_) exchange_->set_stage(handover::ProcessStage::kShuttingDown);
-  bool has_successor = owner_ && owner_->is_served_by_other();
-  return has_successor ? proxy::ShutdownMode::kSuccessorServes : proxy::ShutdownMode::kLast;
+  if (!owner_) return proxy::ShutdownMode::kLast;
+  if (owner_->is_served_by_other()) return proxy::ShutdownMode::kSuccessorServes;
+  if (owner_->other_owner() == 0) owner_->give_up();
+  wait_for_successor();
+  return proxy::ShutdownMode::kLast;
+}
+
+// One that serves claims the socket that this one has given up, and one that starts once it can serve.
+void Operations::wait_for_successor() {
+  owner_timer_ = loop_.at(loop_.now() + kSuccessorCheckInterval, [this] {
+    if (!owner_->is_served_by_other()) return wait_for_successor();
+    log_(net::Level::kInfo, fmt::format("process {} serves on the listening socket", owner_->other_owner()));
+    process_.hand_over();
+  });
 }
 
 void Operations::prepare(proxy::ProxyOptions* options) {
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -33,6 +33,7 @@
     std::function<void(discovery::EndpointListUpdate)> apply_change;
     std::function<std::size_t()> descriptors_held;
     std::function<void(const proxy::OtherProcessesUsage&)> share_limits_with;
+    std::function<void()> hand_over;                           // another serves, while this one is ending
     std::function<void(bool)> set_waiting_for_others;          // while it is set, no client is accepted
     std::function<void(std::uint32_t, std::uint32_t)> cancel;  // of a session number and its secret
   };
@@ -52,11 +53,13 @@
   void on_serving();
   // A client asked to cancel what no session of this process has out.
   void forward_cancel(std::uint32_t number, std::uint32_t secret);
-  // It has been told to end; returns whether another process serves the same socket.
+  // It has been told to end; returns whether another process serves the same socket. Where one does later,
+  // Process::hand_over() is called.
   proxy::ShutdownMode on_shutdown();
 
  private:
   void watch_owner();
+  void wait_for_successor();
   void share_with_others();
   void start_exchange();
   void wait_for_others();
--- a/src/handover/listener_owner.cpp
+++ b/src/handover/listener_owner.cpp
@@ -3,11 +3,25 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <csignal>
+
 #include "handover/process_identity.h"
 
 namespace database_proxy::handover {
+namespace {
+
+// Signals of the open file description. None is ever sent: that takes O_ASYNC.
+constexpr int kOwnerStays = 0, kOwnerGivesUp = SIGURG;
+
+}  // namespace
+
+bool ListenerOwner::claim() const {
+  if (fcntl(listener_, F_SETOWN, getpid()) != 0) return false;
+  fcntl(listener_, F_SETSIG, kOwnerStays);
+  return true;
+}
 
-bool ListenerOwner::claim() const { return fcntl(listener_, F_SETOWN, getpid()) == 0; }
+void ListenerOwner::give_up() const { fcntl(listener_, F_SETSIG, kOwnerGivesUp); }
 
 bool ListenerOwner::is_served_by_other() const {
   auto owner = other_owner();
@@ -20,7 +34,8 @@
   return is_other ? owner : 0;
 }
 
-bool ListenerOwner::is_abandoned() const {
+bool ListenerOwner::is_vacant() const {
+  if (fcntl(listener_, F_GETSIG) == kOwnerGivesUp) return true;
   auto owner = static_cast<pid_t>(fcntl(listener_, F_GETOWN));
   return owner <= 0 || state_of(owner) == ProcessState::kGone;
 }
--- a/src/handover/listener_owner.h
+++ b/src/handover/listener_owner.h
@@ -1,6 +1,7 @@
 // Which process serves a listening socket that several hold. The kernel keeps the answer: the owner of a
 // descriptor (F_SETOWN) belongs to the open file description, which all holders of the socket share. It needs
-// no folder, cannot be torn, and is never mistaken for a later process of the same number.
+// no folder, cannot be torn, and is never mistaken for a later process of the same number. The description's
+// signal (F_SETSIG), which nothing else uses here, says whether the owner gives the socket up.
 #pragma once
 
 #include <sys/types.h>
@@ -18,8 +19,10 @@
   bool is_served_by_other() const;
   // The other process that has claimed it last and has not ended; 0: there is none.
   pid_t other_owner() const;
-  // Whether whoever has claimed it last has ended.
-  bool is_abandoned() const;
+  // The process that has claimed it last is ending: another one that serves is to claim it.
+  void give_up() const;
+  // Whether whoever has claimed it last has ended, or gives it up.
+  bool is_vacant() const;
 
  private:
   int listener_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -430,26 +430,29 @@
 }
 
 void Proxy::shut_down(ShutdownMode mode) {
-  if (stopping_since_) return;
+  if (!stopping_since_) begin_shutdown();
+  bool has_new_successor = mode == ShutdownMode::kSuccessorServes && shutdown_mode_ == ShutdownMode::kLast;
+  if (has_new_successor) hand_clients_over();
+}
+
+void Proxy::begin_shutdown() {
   stopping_since_ = loop_.now();
-  shutdown_mode_ = mode;
   if (!siblings_)
     log_(net::Level::kInfo, fmt::format("told to stop: {} clients, {} requests open", sessions_.size(),
                                         dispatcher_.open_requests()));
   for (auto after : {kContinueServing, kRejectAfter, kRejectAfter + kPartialCommandGrace, kLongestShutdown})
     loop_.at(loop_.now() + after, [] {});
-  if (mode == ShutdownMode::kLast) return;
-  stop_accepting();
-  auto last_answer = *stopping_since_ + options_.shutdown_limit - kLastAnswerBefore;
-  dispatcher_.answer_by(last_answer);
-  for (auto when : {last_answer, *stopping_since_ + options_.shutdown_limit - kLastCloseBefore})
-    loop_.at(when, [] {});
-  hand_clients_over();
 }
 
 // Each connection ends with its next answer: a client finds both together, and no request of its own on the
 // way. Those that are not used for a while are closed later, as without a successor.
 void Proxy::hand_clients_over() {
+  shutdown_mode_ = ShutdownMode::kSuccessorServes;
+  stop_accepting();
+  auto last_answer = *stopping_since_ + options_.shutdown_limit - kLastAnswerBefore;
+  dispatcher_.answer_by(last_answer);
+  for (auto when : {last_answer, *stopping_since_ + options_.shutdown_limit - kLastCloseBefore})
+    loop_.at(when, [] {});
   for (auto& [session, owned] : sessions_) session->close_when_idle();
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -67,9 +67,10 @@
         SiblingWorkers& siblings);
   ~Proxy() override;
 
-  void run();                         // until it has shut down
-  void shut_down(ShutdownMode mode);  // finishes what was taken; run() returns after that
-  void stop_now() { loop_.stop(); }   // run() returns after this iteration, whatever is open
+  void run();  // until it has shut down
+  // Finishes what was taken; run() returns after that. May be called again once a successor serves.
+  void shut_down(ShutdownMode mode);
+  void stop_now() { loop_.stop(); }  // run() returns after this iteration, whatever is open
   // Takes over what may change under load: discovery's address, descriptors, the pool's limits.
   void reconfigure(const ProxyOptions& options);
   int port() const;
@@ -134,6 +135,7 @@
   bool close_client(EvictionScope scope);
   void trim_idle();
   void close_idle_clients();
+  void begin_shutdown();
   void hand_clients_over();
   void end_what_is_left();
   void stop_if_empty();
--- a/src/workers/worker_pool.cpp
+++ b/src/workers/worker_pool.cpp
@@ -379,12 +379,15 @@
 }
 
 void WorkerPool::shut_down(proxy::ShutdownMode mode) {
-  if (std::exchange(stopping_, true)) return;
+  if (!std::exchange(stopping_, true)) log_shutdown();
   if (mode == proxy::ShutdownMode::kSuccessorServes && acceptor_) acceptor_->stop();
+  for (auto& worker : workers_) worker->post([mode, &p = worker->proxy()] { p.shut_down(mode); });
+}
+
+void WorkerPool::log_shutdown() {
   std::size_t clients = 0;
-  for (auto& s : worker_slots()) clients += s.clients;
+  for (auto& slot : worker_slots()) clients += slot.clients;
   log_(net::Level::kInfo, fmt::format("told to stop: {} clients, {} requests open", clients, names_.size()));
-  for (auto& worker : workers_) worker->post([mode, &p = worker->proxy()] { p.shut_down(mode); });
 }
 
 void WorkerPool::reconfigure(const proxy::ProxyOptions& options, int connections_per_server) {
--- a/src/workers/worker_pool.h
+++ b/src/workers/worker_pool.h
@@ -55,9 +55,10 @@
   WorkerPool(net::Loop& control, WorkerPoolConfig config, std::function<net::Log(const std::string&)> log);
   ~WorkerPool();
 
-  void run();                                // until all workers have stopped
-  void shut_down(proxy::ShutdownMode mode);  // each finishes what was taken; run() returns after that
-  void stop_now();                           // run() returns soon, whatever is open
+  void run();  // until all workers have stopped
+  // Each finishes what was taken; run() returns after that. May be called again once a successor serves.
+  void shut_down(proxy::ShutdownMode mode);
+  void stop_now();  // run() returns soon, whatever is open
   void reconfigure(const proxy::ProxyOptions& options, int connections_per_server);
   int port() const;
   // In the control thread, as a proxy by itself has them.
@@ -88,6 +89,7 @@
   std::vector<WorkerSlot> worker_slots() const;
   std::size_t descriptors_allowed() const;
   int connections_per_server() const;
+  void log_shutdown();
   void ended();  // a worker has stopped
   void on_worker_ready();
   void start_serving();
--- a/tests/upgrade/cordon_test.cpp
+++ b/tests/upgrade/cordon_test.cpp
@@ -15,13 +15,6 @@
 
 const std::string kPrimary = "s1-1", kReplica = "s1-2";
 
-std::string write_of_node(int number) {
-  return fmt::format(
-      "INSERT INTO kv (name, content) VALUES ('k1', '\\x9f') RETURNING content "
-      "/* id=w{},c=book,d=1000,k={:x},cluster=1 */",
-      number, number + 1);
-}
-
 std::string own_read_of_node(int number) {
   return fmt::format("SELECT content FROM kv WHERE name = 'k1' /* id=o{},c=own-view,d=1000,cluster=1 */",
                      number);
--- a/tests/upgrade/node.h
+++ b/tests/upgrade/node.h
@@ -84,6 +84,14 @@
                      timeout_ms);
 }
 
+// With a key of its own for each number.
+inline std::string write_of_node(int number) {
+  return fmt::format(
+      "INSERT INTO kv (name, content) VALUES ('k1', '\\x9f') RETURNING content "
+      "/* id=w{},c=book,d=1000,k={:x},cluster=1 */",
+      number, number + 1);
+}
+
 inline bool is_healthy(const ProcessUnderTest& process) {
   return process.operator_call("health", kCallTimeout).starts_with("YES");
 }
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -356,6 +356,45 @@
   CHECK(is_healthy(*first));
 }
 
+TEST_CASE("upgrade: the process that claimed the socket last is told to end, and another one serves on") {
+  for (int workers : {1, 2})
+    for (bool has_folder : {true, false}) {
+      INFO("workers " << workers << ", folder " << has_folder);
+      FakeServersOptions sets;
+      sets.model.service_us = 100'000;
+      sets.model.spread = 0;
+      sets.model.write_factor = 6;
+      Node node(sets);
+      auto start = [&] {
+        auto options = node.options();
+        if (workers > 1) options.operator_file = {{"workers", {{"count", workers}}}};
+        return node.start(options);
+      };
+      auto stays = start();
+      REQUIRE(becomes_healthy(*stays));
+      auto ends = start();
+      REQUIRE(becomes_healthy(*ends));
+      auto owner = [&] { return fcntl(node.listening_socket.get(), F_GETOWN); };
+      REQUIRE(owner() == ends->pid());
+      if (!has_folder) std::filesystem::remove_all(node.shared_folder());
+      stays->signal(SIGSTOP);
+      Client busy(node.port());
+      stays->signal(SIGCONT);
+      busy.send(pg::simple_query(write_of_node(1)));
+      REQUIRE(soon([&] { return node.servers.figures().at("s1-1").requests == 1; }));
+      ends->signal(SIGTERM);
+      auto handed_over = fmt::format("process {} serves on the listening socket", stays->pid());
+      CHECK(soon([&] { return ends->log().find(handed_over) != std::string::npos; }));
+      CHECK(owner() == stays->pid());
+      CHECK(ends->running());  // the write is out
+      std::vector<std::unique_ptr<Client>> clients(16);
+      for (auto& client : clients) client = std::make_unique<Client>(node.port());
+      CHECK(busy.answer().row);
+      CHECK(ends->wait() == 0);
+      for (auto& client : clients) CHECK(client->query(read_of_node("r")).row);
+    }
+}
+
 TEST_CASE("upgrade: clients are not accepted before the running process makes room for them") {
   for (int workers : {1, 2}) {
     INFO("workers " << workers);
