--- a/src/testbench/fault_injection/soak.cpp
+++ b/src/testbench/fault_injection/soak.cpp
@@ -224,7 +224,7 @@
   sets.seed = seed;
   constexpr double kServiceUs = 2000;
   sets.model.service_us = kServiceUs;
-  sets.limits.usual_rate = static_cast<double>(kRatePerNode * sets.nodes) / (sets.replicas + 1);
+  sets.limits.slow_start.usual_rate = static_cast<double>(kRatePerNode * sets.nodes) / (sets.replicas + 1);
   FakeServers servers(sets);
   auto replicas = servers.servers();
   auto primary = replicas.front();
--- a/src/testbench/rules.cpp
+++ b/src/testbench/rules.cpp
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <chrono>
-#include <cmath>
 
 namespace database_proxy::testbench {
 namespace {
@@ -12,15 +10,6 @@
 // A request that has ended is forgotten after one to two of these; no request lasts so long.
 constexpr Micros kKeep{15'000'000};
 
-double seconds(Micros time) { return std::chrono::duration<double>(time).count(); }
-
-// Requests do not arrive evenly: what the protocol page allows a server that is given `requests` in the mean.
-double with_slack(double requests) {
-  constexpr double kFew = 30;
-  auto root = std::sqrt(requests);
-  return requests < kFew ? requests + 3 * root + 3 : requests + 2 * root + 2;
-}
-
 }  // namespace
 
 std::string_view name_of(Rule rule) {
@@ -117,53 +106,7 @@
 }
 
 void RuleChecker::share(Micros now, std::int64_t set, const std::string& server, double speed) {
-  if (speed < 1) colds_.store(true, std::memory_order_release);
-  if (!colds_.load(std::memory_order_acquire)) return;
-  std::lock_guard lock(mutex_);
-  auto& w = windows_[set];
-  if (now - w.begun >= limits_.cold_window) {
-    judge(w);
-    w = {now, {}};
-  }
-  auto& given = w.given[server];
-  ++given.requests;
-  given.speed = std::max(given.speed, speed);
-}
-
-// In one window a cold member must not get more than a multiple of what its age leaves of the usual requests.
-void RuleChecker::judge(const Window& window) {
-  auto usual = usual_requests(window);
-  if (!usual) return;
-  for (auto& [server, given] : window.given) {
-    if (given.speed >= 1) continue;
-    double allowed = with_slack(limits_.cold_multiple * given.speed * *usual);
-    if (given.requests <= allowed) continue;
-    auto& b = breaches_[Rule::kCold];
-    b.rule = Rule::kCold;
-    if (++b.count == 1)
-      b.first = fmt::format("{} got {} requests in {} ms at {:.2f} of its speed, {:.0f} allowed ({})", server,
-                            given.requests, limits_.cold_window.count() / 1000, given.speed, allowed,
-                            in_words(window));
-  }
-}
-
-std::optional<double> RuleChecker::usual_requests(const Window& window) const {
-  if (limits_.usual_rate > 0) return limits_.usual_rate * seconds(limits_.cold_window);
-  int servers = 0, requests = 0;
-  for (auto& [server, given] : window.given) {
-    if (given.speed < 1) continue;
-    ++servers;
-    requests += given.requests;
-  }
-  if (servers == 0) return std::nullopt;
-  return static_cast<double>(requests) / servers;
-}
-
-std::string RuleChecker::in_words(const Window& window) {
-  std::vector<std::string> servers;
-  for (auto& [server, given] : window.given)
-    servers.push_back(fmt::format("{}: {} at {:.2f}", server, given.requests, given.speed));
-  return fmt::format("{}", fmt::join(servers, ", "));
+  for (auto& what : slow_start_.on_request(now, set, server, speed)) breach(Rule::kCold, what);
 }
 
 std::vector<RuleChecker::Breach> RuleChecker::breaches() const {
--- a/src/testbench/rules.h
+++ b/src/testbench/rules.h
@@ -8,13 +8,13 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "net/loop.h"
+#include "testbench/slow_start_checker.h"
 #include "testbench/withdrawal_checker.h"
 
 namespace database_proxy::testbench {
@@ -24,9 +24,7 @@
 struct RuleLimits {
   Micros drain_grace{1'050'000};  // after word of a drain, 50 ms for the sockets included
   int attempts = 8;               // of one request
-  double cold_multiple = 3;       // of what a member's age allows it
-  Micros cold_window{1'000'000};
-  double usual_rate = 0;  // requests a second of a warm server; 0: what the warm ones get tells it
+  SlowStartLimits slow_start;
 };
 
 enum class Rule { kTwoOut, kTooMany, kDrained, kWithdrawn, kCold, kStale, kKey, kWrongValue, kTwoAnswers };
@@ -34,7 +32,8 @@
 
 class RuleChecker {
  public:
-  explicit RuleChecker(RuleLimits limits = {}) : limits_(limits), withdrawals_(limits.drain_grace) {}
+  explicit RuleChecker(RuleLimits limits = {})
+      : limits_(limits), withdrawals_(limits.drain_grace), slow_start_(limits.slow_start) {}
 
   // An attempt's last byte came to `server` at `now`; its first at `begun`.
   void attempt(Micros now, Micros begun, std::string_view request, std::string_view server);
@@ -77,29 +76,17 @@
     bool takes = true;
     Micros last_send{-1};
   };
-  struct Given {
-    int requests = 0;
-    double speed = 0;  // the largest
-  };
-  struct Window {
-    Micros begun{0};
-    std::map<std::string, Given> given;  // by server
-  };
   Shard& shard(std::string_view request) { return shards_[std::hash<std::string_view>{}(request) % kShards]; }
-  void judge(const Window& window);
-  // What a warm server gets in a window; none: nothing tells it.
-  std::optional<double> usual_requests(const Window& window) const;
-  static std::string in_words(const Window& window);
 
   static constexpr std::size_t kShards = 64;
   RuleLimits limits_;
   WithdrawalChecker withdrawals_;
+  SlowStartChecker slow_start_;
   std::array<Shard, kShards> shards_;
   mutable std::mutex mutex_;  // of what follows
   std::unordered_map<std::string, Told> told_;
-  std::map<std::int64_t, Window> windows_;
   std::map<Rule, Breach> breaches_;
-  std::atomic<bool> drains_{false}, colds_{false};  // nothing of the kind is watched yet
+  std::atomic<bool> drains_{false};  // false: none is watched yet
 };
 
 }  // namespace database_proxy::testbench
--- a/tests/testbench/lab_test.cpp
+++ b/tests/testbench/lab_test.cpp
@@ -88,7 +88,7 @@
 TEST_CASE("rules: where the usual load is known, a cold member's part is of that, whoever else is out") {
   auto breaches = [](int cold, int warm) {
     RuleLimits limits;
-    limits.usual_rate = 150;
+    limits.slow_start.usual_rate = 150;
     RuleChecker rules(limits);
     for (int i = 0; i < cold; ++i) rules.share(ms(i), 1, "c", 0.2);
     for (int i = 0; i < warm; ++i) rules.share(ms(i), 1, "w", 1);
