--- a/src/testbench/fault_injection/soak_script.cpp
+++ b/src/testbench/fault_injection/soak_script.cpp
@@ -21,6 +21,7 @@
     {CallFault::kFolderFull, 2},
     {CallFault::kFolderError, 2},
     {CallFault::kTornWrite, 4},
+    {CallFault::kSlowFolder, 20},
 };
 
 constexpr std::int64_t kHourUs = 3'600'000'000, kSecondUs = 1'000'000;
