Test of a client that leaves: its attempt is told from a probe's connection

Trace: when it fails, the server has had two connections, one statement and one probe; the attempt's connection is gone, and the one that the probe opened beside it is idle in the pool. The test waited until no connection was open.

Change: the server counts statements that it leaves without an answer and whose connections are open. That has to become 1, and 0 once the client has gone; and no second statement comes, which was not checked before.

--- a/tests/proxy/rig.h
+++ b/tests/proxy/rig.h
@@ -163,6 +163,7 @@
 
   std::function<Reply(const std::string&)> reply = [](const std::string&) { return Reply{}; };
   std::atomic<int> connections{0}, open{0}, out{0}, most_out{0}, probes{0};
+  std::atomic<int> silent{0};                // requests that get no answer, and whose connections are open
   std::atomic<bool> hold_greeting{false};    // new connections are accepted and hear nothing
   std::atomic<int> greeted{0}, answered{0};  // so many greetings and answers have been written
   std::atomic<bool> full{false};             // its table of connections is: each new one is turned away
@@ -210,8 +211,10 @@
       auto r = !primary_ && body.starts_with("INSERT") ? Reply{Reply::kError, "25006", 0} : reply(body);
       --out;
       if (r.what == Reply::kSilence) {
+        ++silent;
         while (peer.more()) {
         }
+        --silent;
         return;
       }
       if (r.what == Reply::kReset) return;
--- a/tests/proxy/rules_test.cpp
+++ b/tests/proxy/rules_test.cpp
@@ -190,9 +190,10 @@
   rig.primary.reply = rig.replica.reply = [](const std::string&) { return Reply{Reply::kSilence, "", 0}; };
   Client client(rig.port);
   client.send(pg::simple_query(write_sql("g1", 60000)));
-  REQUIRE(soon([&] { return rig.primary.count() == 1; }));
+  REQUIRE(soon([&] { return rig.primary.silent == 1; }));
   client.close();
-  CHECK(soon([&] { return rig.primary.open == 0; }));
+  CHECK(soon([&] { return rig.primary.silent == 0; }));
+  CHECK(rig.primary.count() == 1);
 }
 
 TEST_CASE("clients: a CancelRequest ends just the request it names, with its one answer") {
