Shutdown logs what clients are still owed before the limit; its times in one module

What callers saw: nothing changes for them.

Change: 0.4 s before the earliest kill a process logs its clients, open requests, answers ready behind them, bytes of commands waiting and bytes of answers unsent. The times of a shutdown are a pure module, ShutdownSchedule, and the code of Proxy that uses them has a file of its own; behaviour is the same.

--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -76,6 +76,24 @@
   });
 }
 
+void SessionBacklog::add(const SessionBacklog& other) {
+  open_requests += other.open_requests;
+  ready_answers += other.ready_answers;
+  waiting_input_bytes += other.waiting_input_bytes;
+  unsent_bytes += other.unsent_bytes;
+}
+
+SessionBacklog ClientSession::backlog() const {
+  SessionBacklog backlog;
+  for (auto& command : queue_) {
+    backlog.open_requests += command->request != 0;
+    backlog.ready_answers += command->is_done;
+  }
+  backlog.waiting_input_bytes = input_.view().size() - parsed_;
+  backlog.unsent_bytes = unsent();
+  return backlog;
+}
+
 // Closes the session after its connection broke or the client closed it.
 void ClientSession::close_lost_peer() {
   is_peer_gone_ = true;
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -20,6 +20,15 @@
 
 class ClientSession;
 
+// What a session has not yet given its client.
+struct SessionBacklog {
+  std::size_t open_requests = 0;
+  std::size_t ready_answers = 0;        // they wait for the answers of earlier commands
+  std::size_t waiting_input_bytes = 0;  // received, and not yet taken as commands
+  std::size_t unsent_bytes = 0;         // of answers that the socket has not accepted
+  void add(const SessionBacklog& other);
+};
+
 // Interface of a session to the proxy that owns it. Called in the proxy's thread.
 class SessionOwner {
  public:
@@ -74,6 +83,7 @@
   bool is_unused() const { return queue_.empty() && !has_sent_command_ && !awaits_ready(); }
   // A command has begun to arrive and is not complete.
   bool is_mid_command() const { return queue_.empty() && has_started() && !input_.view().empty(); }
+  SessionBacklog backlog() const;
   Micros idle_since() const { return idle_since_; }
   std::uint32_t number() const { return number_; }
   std::uint32_t secret() const { return secret_; }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -17,19 +17,6 @@
 
 using namespace std::chrono_literals;
 
-// After SIGTERM, new connections keep arriving for up to 0.4 s and clients keep using theirs. Both are served
-// as before until kContinueServing has passed; then each connection is closed between requests, and from
-// kRejectAfter on new requests are rejected.
-constexpr Micros kContinueServing = 500ms, kRejectAfter = 700ms;
-// The time that a command which has arrived in part at kRejectAfter has to arrive completely; then it is
-// rejected.
-constexpr Micros kPartialCommandGrace = 2500ms;
-// With a successor: the times before the platform's kill at which open requests fail, and at which the
-// process ends. They are apart because a process may be held up for 0.15 s in between.
-constexpr Micros kLastAnswerBeforeKill = 400ms, kLastCloseBeforeKill = 250ms;
-// The time after which a client that does not read its last answers no longer delays the shutdown. Open
-// requests are never cut off: each ends by its own deadline.
-constexpr Micros kMaxShutdownTime = 15s;
 // The standard streams, epoll, the signals, the listener, discovery and the log, and a few spare descriptors.
 constexpr std::size_t kOwnDescriptors = 16;
 constexpr std::size_t kDescriptorsPerProxy = 2;  // with several proxies: each one's epoll and a spare one
@@ -148,7 +135,7 @@
 }
 
 void Proxy::start_accepting() {
-  if (listener_ < 0 || is_accepting_ || stopping_since_) return;
+  if (listener_ < 0 || is_accepting_ || shutdown_) return;
   if (!loop_.add(listener_, &on_listener_))
     throw std::system_error(errno, std::generic_category(), "cannot watch the listener");
   is_accepting_ = true;
@@ -161,7 +148,7 @@
 }
 
 std::string Proxy::unhealthy_reason() const {
-  if (stopping_since_) return "it is shutting down";
+  if (shutdown_) return "it is shutting down";
   if (!dispatcher_.ready()) return "no data server is known that is up";
   bool is_list_cached = !siblings_ && !has_discovery_answered_;
   if (is_list_cached && loop_.now() - started_at_ < kFirstListTimeout)
@@ -323,7 +310,7 @@
   auto session = std::make_unique<ClientSession>(loop_, dispatcher_, *this, std::move(fd), number, secret,
                                                  waiting_since);
   if (!session->start()) return;
-  if (stopping_since_ && loop_.now() - *stopping_since_ >= kContinueServing) session->close_when_idle();
+  if (shutdown_ && shutdown_->closes_idle_connections(loop_.now())) session->close_when_idle();
   sessions_.emplace(session.get(), std::move(session));
 }
 
@@ -416,8 +403,7 @@
 void Proxy::on_iteration_end() {
   before_iteration_end();
   if (must_retry_accept_ && is_accepting_) accept_all();
-  if (stopping_since_)
-    shutdown_mode_ == ShutdownMode::kLast ? close_idle_clients() : enforce_shutdown_limit();
+  if (shutdown_) continue_shutdown();
   if (other_processes_.processes > 0) release_excess_descriptors();
   trim_idle();
   dispatcher_.on_iteration_end();
@@ -426,9 +412,7 @@
     start_accepting();
     if (!siblings_) log_(net::Level::kInfo, "ready to serve");
     on_ready();
-    std::vector<ClientSession*> all;
-    for (auto& [session, owned] : sessions_) all.push_back(session);
-    for (auto* session : all) session->resume();
+    for (auto* session : all_sessions()) session->resume();
     dispatcher_.on_iteration_end();  // for requests that were queued behind the empty query
   }
   // Flushing may find that a client has disconnected; the dispatcher then handles the requests that it
@@ -442,75 +426,4 @@
   publish();
 }
 
-void Proxy::shut_down(ShutdownMode mode) {
-  if (!stopping_since_) begin_shutdown();
-  bool has_new_successor = mode == ShutdownMode::kSuccessorServes && shutdown_mode_ == ShutdownMode::kLast;
-  if (has_new_successor) close_clients_for_successor();
-}
-
-void Proxy::begin_shutdown() {
-  stopping_since_ = loop_.now();
-  if (!siblings_)
-    log_(net::Level::kInfo, fmt::format("told to stop: {} clients, {} requests open", sessions_.size(),
-                                        dispatcher_.open_requests()));
-  for (auto after : {kContinueServing, kRejectAfter, kRejectAfter + kPartialCommandGrace, kMaxShutdownTime})
-    loop_.at(loop_.now() + after, [] {});
-}
-
-// Closes each connection together with its next answer, so that the client sees both at once and has no
-// request in flight. Connections that stay unused for a while are closed later, as without a successor.
-void Proxy::close_clients_for_successor() {
-  shutdown_mode_ = ShutdownMode::kSuccessorServes;
-  stop_accepting();
-  auto last_answer = *stopping_since_ + options_.shutdown_limit - kLastAnswerBeforeKill;
-  dispatcher_.set_latest_deadline(last_answer);
-  for (auto when : {last_answer, *stopping_since_ + options_.shutdown_limit - kLastCloseBeforeKill})
-    loop_.at(when, [] {});
-  for (auto& [session, owned] : sessions_) session->close_when_idle();
-}
-
-// Closes idle clients as without a successor. In addition, every request gets its answer and the process ends
-// before the platform kills it.
-void Proxy::enforce_shutdown_limit() {
-  auto time_left = *stopping_since_ + options_.shutdown_limit - loop_.now();
-  close_idle_clients();
-  if (time_left <= kLastAnswerBeforeKill) dispatcher_.fail_open_requests("the proxy is shutting down");
-  if (time_left > kLastCloseBeforeKill) return stop_if_empty();
-  std::vector<ClientSession*> all;
-  for (auto& [session, owned] : sessions_) all.push_back(session);
-  for (auto* session : all)
-    if (sessions_.count(session)) session->close();
-  stop_if_empty();
-}
-
-void Proxy::close_idle_clients() {
-  auto elapsed = loop_.now() - *stopping_since_;
-  if (elapsed < kContinueServing) return;
-  if (is_accepting_) accept_all();
-  std::vector<ClientSession*> all;
-  for (auto& [session, owned] : sessions_) all.push_back(session);
-  for (auto* session : all) {
-    session->close_when_idle();
-    if (sessions_.count(session) && session->is_idle()) session->poll_input();
-  }
-  if (elapsed < kRejectAfter) return;
-  for (auto* session : all) {
-    if (!sessions_.count(session)) continue;
-    session->reject_new_requests();
-    bool is_in_grace_period = session->is_lingering() ||
-                              (session->is_mid_command() && elapsed < kRejectAfter + kPartialCommandGrace);
-    if (is_in_grace_period
-            ? elapsed >= kMaxShutdownTime
-            : !session->is_busy() || (elapsed >= kMaxShutdownTime && !session->has_unanswered_commands()))
-      session->close();
-  }
-  stop_if_empty();
-}
-
-void Proxy::stop_if_empty() {
-  if (!sessions_.empty()) return;
-  if (!siblings_) log_(net::Level::kInfo, dispatcher_.counters().summary());
-  loop_.stop();
-}
-
 }  // namespace database_proxy::proxy
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -12,6 +12,7 @@
 #include "proxy/client_eviction.h"
 #include "proxy/client_session.h"
 #include "proxy/dispatcher.h"
+#include "proxy/shutdown_schedule.h"
 
 namespace database_proxy::proxy {
 
@@ -143,9 +144,12 @@
   void trim_idle();
   void close_idle_clients();
   void begin_shutdown();
+  void continue_shutdown();
+  void log_shutdown_backlog();
   void close_clients_for_successor();
   void enforce_shutdown_limit();
   void stop_if_empty();
+  std::vector<ClientSession*> all_sessions() const;
   std::size_t descriptors_in_use() const;
   std::size_t descriptors_allowed() const;
   void release_excess_descriptors();
@@ -175,8 +179,9 @@
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
   std::vector<std::unique_ptr<ClientSession>> closed_;  // kept until the end of the iteration
   std::vector<ClientSession*> to_flush_;
-  std::size_t buffered_ = 0;  // bytes held by clients' incomplete statements
-  std::optional<Micros> stopping_since_;
+  std::size_t buffered_ = 0;                  // bytes held by clients' incomplete statements
+  std::optional<ShutdownSchedule> shutdown_;  // set by the signal to stop
+  bool has_logged_shutdown_backlog_ = false;
   OtherProcessesUsage other_processes_;
   ShutdownMode shutdown_mode_ = ShutdownMode::kLast;
   Micros trimmed_at_{0}, published_at_{0};
