Fingerprints and the model check no longer depend on the order of arguments

What callers saw: on arm64 three tests failed that pass on x86-64: SmallScope (SIGSEGV in LeaseClient::token), DecisionEquality and its short form (every seed differs, the number of actions too).

Cause: five calls had two arguments with an effect, or an effect and a use. C++ leaves their order to the compiler; g++ takes them from right to left on x86-64 and from left to right on arm64. In the model check (two calls) the state was moved away before its fingerprint was taken. In the simulated deployment of the fingerprints (three calls: a client's retry, the answer to a subscription, the list after a member left) two draws of one generator changed places. No library function is involved.

Change: each of the five has its effects in statements of their own, in the order of x86-64. The committed fingerprints stay as they are.

Not run on x86-64 in this state.

--- a/src/testbench/simulation/model.cpp
+++ b/src/testbench/simulation/model.cpp
@@ -112,7 +112,8 @@
     s.proposals = options_.proposals;
     s.crashes = options_.crashes;
     s.breaks = options_.breaks;
-    search_.begin(std::move(s), fingerprint(s));
+    auto initial_fingerprint = fingerprint(s);  // before the move, whatever the order of arguments
+    search_.begin(std::move(s), initial_fingerprint);
     while (search_.next() && expand(search_.state)) {
     }
     return search_.finish();
@@ -291,7 +292,8 @@
     s.clients.emplace_back("b", lease_);
     s.managers[0].on_elected(clock_time(0, 1));
     s.registry.apply(5, own::Grant{"j", "a", 0});
-    search_.begin(std::move(s), fingerprint(s));
+    auto initial_fingerprint = fingerprint(s);  // before the move, whatever the order of arguments
+    search_.begin(std::move(s), initial_fingerprint);
     while (search_.next() && expand(search_.state)) {
     }
     return search_.finish();
--- a/tests/request_router/decision_deployment.cpp
+++ b/tests/request_router/decision_deployment.cpp
@@ -177,7 +177,8 @@
     return schedule_list_update(joined);
   }
   member.listed = member.permanent || !member.listed;
-  schedule(now_ + random_.between(0ms, 100ms), full_list(ListKind::kFull));
+  MemberList list = full_list(ListKind::kFull);
+  schedule(now_ + random_.between(0ms, 100ms), std::move(list));
 }
 
 void SimulatedDeployment::set_health(SimulatedMember& member) {
--- a/tests/request_router/decision_fingerprint.cpp
+++ b/tests/request_router/decision_fingerprint.cpp
@@ -259,7 +259,9 @@
   void execute(const Reject& action) { schedule_client_retry(action.retry_after); }
   void execute(const Fail&) { schedule_client_retry(0ms); }
   void schedule_client_retry(Micros after) {
-    if (random_.permille(200)) schedule(now_ + after + random_.between(1ms, 50ms), new_request(true));
+    if (!random_.permille(200)) return;
+    Request retry = new_request(true);
+    schedule(now_ + after + random_.between(1ms, 50ms), retry);
   }
   void execute(const Probe& action) {
     ProbeResult result;
@@ -274,9 +276,9 @@
     schedule(now_ + action.after + late, TimerFired{action.key});
   }
   void execute(const Subscribe&) {
-    schedule(now_ + random_.between(5ms, 60ms), random_.permille(300)
-                                                    ? Event(MemberList{ListKind::kFailed, {}})
-                                                    : Event(full_list(ListKind::kFull)));
+    Event reply =
+        random_.permille(300) ? Event(MemberList{ListKind::kFailed, {}}) : Event(full_list(ListKind::kFull));
+    schedule(now_ + random_.between(5ms, 60ms), std::move(reply));
   }
   void execute(const Log&) {}
 
