Without a successor too, a shutdown answers all commands before the kill

Cause: the read was refused at once (57P03), but answers keep their order, and the write ended by its own deadline alone, 4.7 s after SIGTERM. Only with a successor did a process end its open requests before the time at which the platform kills it.

Change: both kinds of shutdown keep to the same limit. No request gets a deadline after 0.4 s before it; what is open then gets its final answer, and all connections are closed 0.25 s before it. Why it works: each answer that waits stands behind an open request, and none is open after that time. A request that ends so is rejected where nothing has run or it is a read; a write that may have run is failed. That is decided in retry_policy. The 15 s for clients that do not read their answers are gone: the kill never allowed them.

Test: tests/proxy/shutdown_test.cpp. Red with the two steps at the limit restricted to a successor as before: the process ended 8,994 ms and 9,005 ms after the signal, 3,700 ms are allowed.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -270,6 +270,10 @@
 };
 using Action = std::variant<Send, Cancel, Reject, Fail, Probe, SetTimer, Subscribe, Log>;
 
+// Whether a request that is given up because its process ends may be rejected, so that its client repeats it.
+// Otherwise it is failed: it may have run.
+bool may_reject_at_shutdown(Effect effect, bool may_have_run);
+
 // Decides where requests are sent, for all groups that its member lists name.
 class Router {
  public:
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -111,7 +111,7 @@
 }
 
 void ClientSession::handle_request(const pg::Statement& statement) {
-  if (shutdown_ == Shutdown::kRejecting) return reply_error("57P03", "the proxy is shutting down");
+  if (shutdown_ == Shutdown::kRejecting) return reply_error(kShuttingDown.code, kShuttingDown.message);
   auto* request_class = dispatcher_.find_class(statement.request_class);
   if (auto error = check_request_class(statement, request_class))
     return reply_error(error->code, error->message);
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "proxy/session_rules.h"
+
 namespace database_proxy::proxy {
 namespace {
 
@@ -433,6 +435,11 @@
   session.finish(*this, error + pg::ready_for_query());
 }
 
+void ClientSession::QueuedCommand::reject_at_shutdown() {
+  auto error = pg::error_response("ERROR", kShuttingDown.code, kShuttingDown.message);
+  session.finish(*this, error + pg::ready_for_query());
+}
+
 void ClientSession::QueuedCommand::fail(std::string_view why) {
   session.finish(*this, pg::error_response("ERROR", "57014", why) + pg::ready_for_query());
 }
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -109,6 +109,7 @@
     void serve(const Answer& answer) override { session.serve(*this, answer); }
     bool still_connected() override { return session.still_connected(*this); }
     void reject(Micros retry_after) override;
+    void reject_at_shutdown() override;
     void fail(std::string_view why) override;
 
     ClientSession& session;
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -79,6 +79,7 @@
   auto& open = open_[request.id] = {client, guard_timer, std::string(name), loop_.now()};
   open.expires = request.expires;
   open.is_repeatable = request.is_repeatable;
+  open.effect = request.effect;
   if (observer_) observer_->submitted(request);
   if (!siblings_) open_names_.insert(open.name);  // map nodes have stable addresses
   new_requests_.push_back(request);
@@ -116,19 +117,27 @@
   client->fail("no answer in time");
 }
 
-void Dispatcher::fail_open_requests(std::string_view why) {
-  std::vector<RequestId> open;
-  for (auto& [request, state] : open_) open.push_back(request);
-  for (auto request : open) {
-    auto* client = close(request);
-    if (!client) continue;
-    ++counters_.failed;
-    if (std::erase_if(new_requests_, [&](auto& queued) { return queued.id == request; }) == 0) {
-      abandoned_.push_back(request);
-      pool_.cancel(request);
-    }
-    client->fail(why);
+void Dispatcher::end_open_requests() {
+  std::vector<RequestId> all;
+  all.reserve(open_.size());
+  for (auto& [request, open] : open_) all.push_back(request);
+  for (auto request : all) end_at_shutdown(request);
+}
+
+void Dispatcher::end_at_shutdown(RequestId request) {
+  auto it = open_.find(request);
+  if (it == open_.end()) return;
+  bool may_have_run = it->second.may_have_run || it->second.is_sent;
+  bool is_rejected = request_router::may_reject_at_shutdown(it->second.effect, may_have_run);
+  auto* client = close(request);
+  bool is_undecided =
+      std::erase_if(new_requests_, [request](auto& queued) { return queued.id == request; }) > 0;
+  if (!is_undecided) {
+    abandoned_.push_back(request);
+    pool_.cancel(request);
   }
+  ++(is_rejected ? counters_.rejected : counters_.failed);
+  is_rejected ? client->reject_at_shutdown() : client->fail("the proxy is shutting down; this may have run");
 }
 
 void Dispatcher::attempt_ended(AttemptEnd end) { attempt_ends_.push_back(std::move(end)); }
@@ -168,6 +177,7 @@
   auto detail = [&] { return fmt::format("request {}", request); };
   invariants_.check(it != open_.end(), Invariant::kSendWithoutClient, detail);
   if (it == open_.end()) return;
+  it->second.is_sent = true;
   bool is_in_time = loop_.now() <= it->second.expires + kTimeoutSlack;
   invariants_.check(is_in_time, Invariant::kTimeoutTooLong, detail);
 }
@@ -179,6 +189,7 @@
   if (it == open_.end()) return;
   auto outcome = result.outcome;
   it->second.is_in_flight = false;
+  it->second.is_sent = false;
   it->second.may_have_run |= outcome == Outcome::kError || outcome == Outcome::kReset ||
                              outcome == Outcome::kTimedOut || outcome == Outcome::kCancelled;
 }
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -88,8 +88,8 @@
   void abandon(RequestId request);  // its client has disconnected
   // Caps the deadline of every request that is submitted from now on.
   void set_latest_deadline(Micros deadline) { latest_deadline_ = deadline; }
-  // Fails all open requests now; they may have run.
-  void fail_open_requests(std::string_view why);
+  // Gives each open request its final answer now, because the process ends.
+  void end_open_requests();
 
   // Passes the events of this iteration to the decision module, endpoint list changes and results before new
   // requests, and carries out its decisions.
@@ -109,8 +109,10 @@
     Micros expires{0};
     int attempts = 0;
     bool is_in_flight = false;  // an attempt is in flight
+    bool is_sent = false;       // the statement of the attempt in flight may have reached the server
     bool may_have_run = false;
     bool is_repeatable = true;  // its class allows a retry after an attempt that may have run
+    request_router::Effect effect = request_router::Effect::kPure;
   };
   void check_in_service(RequestId request, const std::string& server);
   void check_send(const routing::Decision& decision, const OpenRequest& open);
@@ -121,6 +123,7 @@
   void probe_or_use_report(const std::string& server);
   void submit_new_requests();
   void reject_undecided(RequestId request);
+  void end_at_shutdown(RequestId request);
   void carry_out(const routing::Decision& decision);
   void log_decision(const routing::Decision& decision) const;
   ClientPort* close(RequestId request);
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -26,7 +26,8 @@
   std::array<std::string_view, 3> frames;  // RowDescription, DataRow, CommandComplete
 };
 
-// One client's request. Exactly one of serve, reject and fail is called, unless the client disconnects first.
+// One client's request. Exactly one of serve, reject, reject_at_shutdown and fail is called, unless the
+// client disconnects first.
 class ClientPort {
  public:
   virtual ~ClientPort() = default;
@@ -36,6 +37,7 @@
   virtual bool still_connected() = 0;
   virtual void serve(const Answer& answer) = 0;
   virtual void reject(Micros retry_after) = 0;
+  virtual void reject_at_shutdown() = 0;  // another process may serve a repeat
   virtual void fail(std::string_view why) = 0;
 };
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -147,8 +147,9 @@
   void continue_shutdown();
   void log_shutdown_backlog();
   void close_clients_for_successor();
-  void enforce_shutdown_limit();
-  void stop_if_empty();
+  void reject_new_requests();
+  void close_all_clients();
+  void stop();
   std::vector<ClientSession*> all_sessions() const;
   std::size_t descriptors_in_use() const;
   std::size_t descriptors_allowed() const;
--- a/src/proxy/proxy_shutdown.cpp
+++ b/src/proxy/proxy_shutdown.cpp
@@ -7,16 +7,9 @@
 #include "proxy/proxy.h"
 
 namespace database_proxy::proxy {
-namespace {
 
 using namespace std::chrono_literals;
 
-// The time after which a client that does not read its last answers no longer delays the shutdown. Open
-// requests are never cut off: each ends by its own deadline.
-constexpr Micros kMaxShutdownTime = 15s;
-
-}  // namespace
-
 void Proxy::shut_down(ShutdownMode mode) {
   if (!shutdown_) begin_shutdown();
   bool has_new_successor = mode == ShutdownMode::kSuccessorServes && shutdown_mode_ == ShutdownMode::kLast;
@@ -24,13 +17,12 @@
 }
 
 void Proxy::begin_shutdown() {
-  auto now = loop_.now();
-  shutdown_.emplace(now, options_.shutdown_limit);
+  shutdown_.emplace(loop_.now(), options_.shutdown_limit);
   if (!siblings_)
     log_(net::Level::kInfo, fmt::format("told to stop: {} clients, {} requests open", sessions_.size(),
                                         dispatcher_.open_requests()));
   for (auto when : shutdown_->phase_starts()) loop_.at(when, [] {});
-  loop_.at(now + kMaxShutdownTime, [] {});
+  dispatcher_.set_latest_deadline(shutdown_->last_answer_at());
 }
 
 // Closes each connection together with its next answer, so that the client sees both at once and has no
@@ -38,13 +30,21 @@
 void Proxy::close_clients_for_successor() {
   shutdown_mode_ = ShutdownMode::kSuccessorServes;
   stop_accepting();
-  dispatcher_.set_latest_deadline(shutdown_->last_answer_at());
   for (auto& [session, owned] : sessions_) session->close_when_idle();
 }
 
+// Every command that was read gets its answer, and the process ends, before the platform kills it.
 void Proxy::continue_shutdown() {
-  if (shutdown_->ends_requests(loop_.now())) log_shutdown_backlog();
-  shutdown_mode_ == ShutdownMode::kLast ? close_idle_clients() : enforce_shutdown_limit();
+  auto now = loop_.now();
+  close_idle_clients();
+  if (shutdown_->rejects_requests(now)) reject_new_requests();
+  if (shutdown_->ends_requests(now)) {
+    log_shutdown_backlog();
+    dispatcher_.end_open_requests();
+  }
+  if (shutdown_->ends_connections(now)) close_all_clients();
+  bool may_stop = shutdown_mode_ == ShutdownMode::kSuccessorServes || shutdown_->rejects_requests(now);
+  if (may_stop && sessions_.empty()) stop();
 }
 
 // Logs once what the remaining clients are still owed when the time for it ends.
@@ -59,39 +59,30 @@
                    total.ready_answers, total.waiting_input_bytes, total.unsent_bytes));
 }
 
-// Closes idle clients as without a successor. In addition, every request gets its answer and the process ends
-// before the platform kills it.
-void Proxy::enforce_shutdown_limit() {
-  auto now = loop_.now();
-  close_idle_clients();
-  if (shutdown_->ends_requests(now)) dispatcher_.fail_open_requests("the proxy is shutting down");
-  if (!shutdown_->ends_connections(now)) return stop_if_empty();
-  for (auto* session : all_sessions())
-    if (sessions_.count(session)) session->close();
-  stop_if_empty();
-}
-
 void Proxy::close_idle_clients() {
-  auto now = loop_.now();
-  if (!shutdown_->closes_idle_connections(now)) return;
+  if (!shutdown_->closes_idle_connections(loop_.now())) return;
   if (is_accepting_) accept_all();
-  auto all = all_sessions();
-  for (auto* session : all) {
+  for (auto* session : all_sessions()) {
     session->close_when_idle();
     if (sessions_.count(session) && session->is_idle()) session->poll_input();
   }
-  if (!shutdown_->rejects_requests(now)) return;
-  bool is_over = shutdown_->time_to_kill(now) <= options_.shutdown_limit - kMaxShutdownTime;
-  for (auto* session : all) {
+}
+
+// Rejects what is read from now on, and closes the connections without an outstanding answer.
+void Proxy::reject_new_requests() {
+  bool awaits_partial_commands = shutdown_->awaits_partial_commands(loop_.now());
+  for (auto* session : all_sessions()) {
     if (!sessions_.count(session)) continue;
     session->reject_new_requests();
-    bool is_in_grace_period =
-        session->is_lingering() || (session->is_mid_command() && shutdown_->awaits_partial_commands(now));
-    if (is_in_grace_period ? is_over
-                           : !session->is_busy() || (is_over && !session->has_unanswered_commands()))
-      session->close();
+    bool is_awaited = session->is_lingering() || session->is_busy() ||
+                      (session->is_mid_command() && awaits_partial_commands);
+    if (!is_awaited) session->close();
   }
-  stop_if_empty();
+}
+
+void Proxy::close_all_clients() {
+  for (auto* session : all_sessions())
+    if (sessions_.count(session)) session->close();
 }
 
 std::vector<ClientSession*> Proxy::all_sessions() const {
@@ -101,8 +92,7 @@
   return all;
 }
 
-void Proxy::stop_if_empty() {
-  if (!sessions_.empty()) return;
+void Proxy::stop() {
   if (!siblings_) log_(net::Level::kInfo, dispatcher_.counters().summary());
   loop_.stop();
 }
--- a/src/proxy/session_rules.cpp
+++ b/src/proxy/session_rules.cpp
@@ -53,6 +53,7 @@
   request.expires = answer_deadline(sent_at, statement.timeout_ms);
   request.is_retry = statement.is_retry;
   request.is_repeatable = request_class.is_repeatable;
+  request.effect = request_class.effect;
   return request;
 }
 
--- a/src/proxy/session_rules.h
+++ b/src/proxy/session_rules.h
@@ -22,6 +22,9 @@
   std::string_view message;
 };
 
+// The error of a request that a process rejects because it shuts down: another process may serve a repeat.
+constexpr StatementError kShuttingDown{"57P03", "the proxy is shutting down"};
+
 // Checks that a read or write matches its request class and returns the error if it does not. nullptr: the
 // class is not in the settings.
 std::optional<StatementError> check_request_class(const pg::Statement& statement,
--- a/src/proxy/shutdown_schedule.cpp
+++ b/src/proxy/shutdown_schedule.cpp
@@ -1,5 +1,6 @@
 #include "proxy/shutdown_schedule.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace database_proxy::proxy {
@@ -30,7 +31,7 @@
 
 Micros ShutdownSchedule::last_close_at() const { return begun_at_ + limit_ - kLastCloseBeforeKill; }
 
-Micros ShutdownSchedule::rejects_from() const { return begun_at_ + kRejectAfter; }
+Micros ShutdownSchedule::rejects_from() const { return std::min(begun_at_ + kRejectAfter, last_answer_at()); }
 
 Micros ShutdownSchedule::partial_commands_end() const { return rejects_from() + kPartialCommandGrace; }
 
--- a/src/request_router/retry_policy.cpp
+++ b/src/request_router/retry_policy.cpp
@@ -126,3 +126,12 @@
 }
 
 }  // namespace request_router::internal
+
+namespace request_router {
+
+// Stricter than `may_reject`: the repeat may reach another proxy after the key's window.
+bool may_reject_at_shutdown(Effect effect, bool may_have_run) {
+  return effect == Effect::kPure || !may_have_run;
+}
+
+}  // namespace request_router
--- a/src/routing/decision_facade.cpp
+++ b/src/routing/decision_facade.cpp
@@ -112,6 +112,7 @@
     info.index = i;
     info.is_write = request_class.level == router::ReadLevel::kWrite;
     info.needs_key = request_class.effect == router::Effect::kKeyed;
+    info.effect = request_class.effect;
     info.is_repeatable = request_class.effect != router::Effect::kUnsafe;
     info.has_session = info.is_write || request_class.level == router::ReadLevel::kSession;
     classes_[request_class.name] = info;
--- a/src/routing/decision_facade.h
+++ b/src/routing/decision_facade.h
@@ -26,7 +26,8 @@
   bool is_write = false;
   bool needs_key = false;     // its requests carry an idempotency key
   bool is_repeatable = true;  // may be sent again after an attempt that may have run
-  bool has_session = false;   // its requests belong to a session that reads its own writes
+  request_router::Effect effect = request_router::Effect::kPure;
+  bool has_session = false;  // its requests belong to a session that reads its own writes
 };
 
 // A request received from a client.
@@ -39,6 +40,7 @@
   Micros expires{0};                          // the deadline for sending the final answer
   bool is_retry = false;
   bool is_repeatable = true;  // its class allows another attempt after one that may have run
+  request_router::Effect effect = request_router::Effect::kPure;  // of its class
 };
 
 // How an attempt ended, and whether the request may have taken effect.
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -45,6 +45,7 @@
   bool still_connected() override { return true; }
   void serve(const Answer&) override {}
   void reject(Micros) override {}
+  void reject_at_shutdown() override {}
   void fail(std::string_view) override {}
 };
 
@@ -162,7 +163,7 @@
   DispatcherFixture fixture;
   fixture.dispatcher.attempt_begins(fixture.id, "s");
   CHECK(fixture.count(Invariant::kSendWithoutClient) == 0);
-  fixture.dispatcher.fail_open_requests("");
+  fixture.dispatcher.end_open_requests();
   fixture.dispatcher.attempt_begins(fixture.id, "s");
   CHECK(fixture.count(Invariant::kSendWithoutClient) == 1);
 }
