A shutdown does not close a connection whose commands wait for their turn

What callers saw: a client that sent 300 commands behind an open one got 272 answers, then the end of the connection, where the open one ended more than 3.2 s after SIGTERM.

Cause: once a connection's earlier commands are answered, the rest is taken eight at a time, one share an iteration. In between its queue is empty and its input is not: the shutdown took that for half a command, whose time had passed, and closed the connection.

--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -76,6 +76,8 @@
   bool is_idle() const { return queue_.empty() && !awaits_ready() && input_.view().empty() && unsent() == 0; }
   // An answer is outstanding or not completely written.
   bool is_busy() const { return !is_lingering() && (!queue_.empty() || unsent() > 0); }
+  // Complete commands may wait for the next loop iteration, in which this session continues.
+  bool continues() const { return continues_in_ > loop_.iteration(); }
   bool has_unanswered_commands() const { return !queue_.empty(); }
   // The last answer is written; the session only waits for the peer to close.
   bool is_lingering() const { return state_ == State::kLingering; }
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -122,6 +122,25 @@
   CHECK(Clock::now() - told < kEarliestKill);
 }
 
+// Guards against commands that wait for their turn on one connection, and are closed with it.
+TEST_CASE("shutdown: hundreds of commands behind a request that ends at the limit are all refused") {
+  HangingServers fixture;
+  Client client(fixture.port);
+  fixture.send_open(client, write_sql("a1", 9000));
+  auto told = Clock::now();
+  fixture.shut_down_gracefully();
+  std::this_thread::sleep_until(told + kServiceEnded);
+  constexpr int kMany = 300;  // more than are taken as commands while the first one is open
+  std::string statements;
+  for (int i = 0; i < kMany; ++i) statements += pg::simple_query(read_of("k2", fmt::format("m{}", i), 2000));
+  client.send(statements);
+  CHECK(outcomes(client, 1) == std::vector<std::string>{"57014"});
+  CHECK(outcomes(client, kMany) == std::vector<std::string>(kMany, "57P03"));
+  CHECK_FALSE(client.receive());
+  CHECK(eventually([&] { return fixture.ended.load(); }));
+  CHECK(Clock::now() - told < kEarliestKill);
+}
+
 // Guards against a shutdown that no longer counts from its first signal, and against one at the limit of
 // descriptors that leaves an answer unwritten.
 TEST_CASE("shutdown: a second signal changes nothing, and idle clients at the limit of descriptors neither") {
