A shutdown refuses commands that wait while no data server is up

What callers saw: with no data server known, an empty query waits, and so do the commands behind it. After SIGTERM their connection was closed 3.2 s later without an answer to any of them.

Cause: a waiting session has an empty queue and bytes in its input, which the shutdown took for half a command. Nothing resumes it when service ends.

Change: when new requests are rejected, a session that waits goes on: the empty query and the requests behind it are answered 57P03, in order.

Test: "commands that wait while no data server is up are refused once service ends"; without the call of resume() both commands had no answer, and the connection ended after 3,201 ms.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -93,13 +93,7 @@
   auto statement = pg::parse_statement(text);
   switch (statement.kind) {
     case pg::StatementKind::kEmpty:
-      // Load balancers use the empty query as a health check: its answer means that the proxy can serve
-      // requests.
-      if (!dispatcher_.ready()) {
-        state_ = State::kAwaitingReady;
-        return;
-      }
-      return reply_and_ready(pg::empty_query_response());
+      return handle_empty_query();
     case pg::StatementKind::kSession:
       return reply_and_ready(pg::command_complete(statement.tag));
     case pg::StatementKind::kUnknown:
@@ -110,6 +104,13 @@
   }
 }
 
+// Load balancers use the empty query as a health check: its answer means that the proxy can serve requests.
+void ClientSession::handle_empty_query() {
+  if (dispatcher_.ready()) return reply_and_ready(pg::empty_query_response());
+  if (shutdown_ == Shutdown::kRejecting) return reply_error(kShuttingDown.code, kShuttingDown.message);
+  state_ = State::kAwaitingReady;
+}
+
 void ClientSession::handle_request(const pg::Statement& statement) {
   if (shutdown_ == Shutdown::kRejecting) return reply_error(kShuttingDown.code, kShuttingDown.message);
   auto* request_class = dispatcher_.find_class(statement.request_class);
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -106,6 +106,11 @@
   if (shutdown_ == Shutdown::kNone) shutdown_ = Shutdown::kClosingWhenIdle;
 }
 
+void ClientSession::reject_new_requests() {
+  shutdown_ = Shutdown::kRejecting;
+  if (awaits_ready()) resume();
+}
+
 void ClientSession::on_ready(std::uint32_t events) {
   if ((events & EPOLLOUT) != 0) {
     auto size_before = out_.size();
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -68,7 +68,7 @@
   // Shutdown: closes the session once all accepted commands are answered.
   void close_when_idle();
   // Shutdown: rejects every request read from now on at once, as safe to repeat.
-  void reject_new_requests() { shutdown_ = Shutdown::kRejecting; }
+  void reject_new_requests();
   // Reads and processes input for which no event was reported yet. Returns false if that closed the session.
   bool poll_input();
 
@@ -164,6 +164,7 @@
   bool handle_first_message();
   void handle_message(const pg::Frame& frame);
   void handle_query(std::string_view text);
+  void handle_empty_query();
   void handle_request(const pg::Statement& statement);
   bool must_wait_for_earlier(std::uint64_t key, bool is_write) const;
 
--- a/src/proxy/proxy_shutdown.cpp
+++ b/src/proxy/proxy_shutdown.cpp
@@ -74,6 +74,7 @@
   for (auto* session : all_sessions()) {
     if (!sessions_.count(session)) continue;
     session->reject_new_requests();
+    if (!sessions_.count(session)) continue;
     bool is_awaited = session->is_lingering() || session->is_busy() || session->continues() ||
                       (session->is_mid_command() && awaits_partial_commands);
     if (!is_awaited) session->close();
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -141,6 +141,19 @@
   CHECK(Clock::now() - told < kEarliestKill);
 }
 
+// Guards against clients that wait for the first data server and are closed without an answer.
+TEST_CASE("shutdown: commands that wait while no data server is up are refused once service ends") {
+  ProxyFixture fixture(200, "", true, [](app::Config& config) { config.known.endpoints.clear(); });
+  Client client(fixture.port);
+  client.send(pg::simple_query("") + pg::simple_query(read_of("k2", "n1", 9000)));
+  auto told = Clock::now();
+  fixture.shut_down_gracefully();
+  CHECK(outcomes(client, 2) == std::vector<std::string>{"57P03", "57P03"});
+  CHECK(Clock::now() - told < kServiceEnded);
+  CHECK_FALSE(client.receive());
+  CHECK(eventually([&] { return fixture.ended.load(); }));
+}
+
 // Guards against a shutdown that no longer counts from its first signal, and against one at the limit of
 // descriptors that leaves an answer unwritten.
 TEST_CASE("shutdown: a second signal changes nothing, and idle clients at the limit of descriptors neither") {
