An empty query that waits is answered when data servers come back

What callers saw: all data servers drain or leave, a client on an open connection sends an empty query and a request, and the servers come back. Other clients are served; these two commands never got an answer. A load balancer that checks kept connections with empty queries meets it.

Cause: sessions that wait for a data server were resumed once, when the process could serve for the first time.

Change: a session that begins to wait tells its owner, which resumes all that wait at the end of each iteration in which a data server is known. Nothing is looked through while none waits.

Test: "readiness: an empty query that waits is answered when a data server is up again"; with the resumption at the first start alone, both commands had no answer within 10 s.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -109,6 +109,7 @@
   if (dispatcher_.ready()) return reply_and_ready(pg::empty_query_response());
   if (shutdown_ == Shutdown::kRejecting) return reply_error(kShuttingDown.code, kShuttingDown.message);
   state_ = State::kAwaitingReady;
+  owner_.on_awaiting_ready(this);
 }
 
 void ClientSession::handle_request(const pg::Statement& statement) {
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -42,6 +42,8 @@
   // The memory buffered by a session changed by `change` bytes. Returns false if all sessions together exceed
   // the limit.
   virtual bool on_buffered_change(std::ptrdiff_t change) = 0;
+  // The session waits until a data server is known. Requests a call of resume() then.
+  virtual void on_awaiting_ready(ClientSession* session) = 0;
   // Requests a call of flush() at the end of this loop iteration. Called at most once an iteration.
   virtual void schedule_flush(ClientSession* session) = 0;
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -396,10 +396,19 @@
 void Proxy::on_session_closed(ClientSession* session) {
   auto it = sessions_.find(session);
   if (it == sessions_.end()) return;
+  std::erase(awaiting_ready_, session);
   closed_.push_back(std::move(it->second));  // one of its member functions may be running
   sessions_.erase(it);
 }
 
+// Continues the sessions whose empty query waited for a data server, at the start or after the loss of all.
+void Proxy::resume_awaiting_sessions() {
+  if (awaiting_ready_.empty() || !was_ready_ || !dispatcher_.ready()) return;
+  for (auto* session : std::exchange(awaiting_ready_, {}))
+    if (sessions_.count(session)) session->resume();
+  dispatcher_.on_iteration_end();  // for requests that were queued behind the empty query
+}
+
 void Proxy::on_iteration_end() {
   before_iteration_end();
   if (must_retry_accept_ && is_accepting_) accept_all();
@@ -412,9 +421,8 @@
     start_accepting();
     if (!siblings_) log_(net::Level::kInfo, "ready to serve");
     on_ready();
-    for (auto* session : all_sessions()) session->resume();
-    dispatcher_.on_iteration_end();  // for requests that were queued behind the empty query
   }
+  resume_awaiting_sessions();
   // Flushing may find that a client has disconnected; the dispatcher then handles the requests that it
   // abandoned.
   while (!to_flush_.empty()) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -114,6 +114,7 @@
   void on_session_closed(ClientSession* session) override;
   void on_cancel_request(std::uint32_t number, std::uint32_t secret) override;
   bool on_buffered_change(std::ptrdiff_t change) override;
+  void on_awaiting_ready(ClientSession* session) override { awaiting_ready_.push_back(session); }
   void schedule_flush(ClientSession* session) override { to_flush_.push_back(session); }
 
  private:
@@ -133,6 +134,7 @@
   void stop_accepting();
   void accept_all();
   void on_iteration_end();
+  void resume_awaiting_sessions();
   bool free_descriptor();
   enum class AcceptResult { kTryNext, kNoneWaiting, kNoDescriptor };
   bool can_accept_client();
@@ -179,7 +181,7 @@
   Micros started_at_;
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
   std::vector<std::unique_ptr<ClientSession>> closed_;  // kept until the end of the iteration
-  std::vector<ClientSession*> to_flush_;
+  std::vector<ClientSession*> to_flush_, awaiting_ready_;
   std::size_t buffered_ = 0;                  // bytes held by clients' incomplete statements
   std::optional<ShutdownSchedule> shutdown_;  // set by the signal to stop
   bool has_logged_shutdown_backlog_ = false;
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -88,6 +88,7 @@
   void on_session_closed(ClientSession*) override {}
   void on_cancel_request(std::uint32_t, std::uint32_t) override {}
   bool on_buffered_change(std::ptrdiff_t) override { return true; }
+  void on_awaiting_ready(ClientSession*) override {}
   void schedule_flush(ClientSession*) override {}
 };
 
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -154,6 +154,27 @@
   CHECK(eventually([&] { return fixture.ended.load(); }));
 }
 
+// Guards against clients that wait for ever when all data servers were lost and have come back.
+TEST_CASE("readiness: an empty query that waits is answered when a data server is up again") {
+  ProxyFixture fixture;
+  Client client(fixture.port);
+  REQUIRE(client.query("").tag == "empty");
+  auto list = [&](const std::string& lifecycle) {
+    return endpoint_entry("s-p", fixture.primary, lifecycle) + "," +
+           endpoint_entry("s-r", fixture.replica, lifecycle);
+  };
+  fixture.discovery.set(list("draining"));
+  REQUIRE(eventually([&] {
+    std::promise<bool> is_ready;
+    fixture.with_proxy([&](proxy::Proxy& proxy) { is_ready.set_value(proxy.dispatcher().ready()); });
+    return !is_ready.get_future().get();
+  }));
+  client.send(pg::simple_query("") + pg::simple_query(read_of("k2", "u1", 9000)));
+  std::this_thread::sleep_for(100ms);
+  fixture.discovery.set(list("up"));
+  CHECK(outcomes(client, 2) == std::vector<std::string>{"empty", "row"});
+}
+
 // Guards against a shutdown that no longer counts from its first signal, and against one at the limit of
 // descriptors that leaves an answer unwritten.
 TEST_CASE("shutdown: a second signal changes nothing, and idle clients at the limit of descriptors neither") {
