A connection closed over a waiting empty query counts as a broken invariant

What callers saw: nothing. The counter of connections that the proxy closes with commands unanswered missed those that wait for a data server, and counted a client that ends its session itself (Terminate) right behind a request, which waits for no answer.

Change: each command without its answer counts, and Terminate is the client's end of the connection. Two tests in invariants_test.cpp, each red without its line (0 where 1 is due, 1 where 0 is due). A test of two workers, with shared and with split decisions, holds: answers behind a request at a hanging server are written before the kill on each of them.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -64,8 +64,8 @@
       if (!text) return fail_connection("08P01", "a Query message must contain one null-terminated string");
       return handle_query(*text);
     }
-    case 'X':  // Terminate
-      return close();
+    case 'X':  // Terminate: the client waits for no answer
+      return close_lost_peer();
     case 'S':  // Sync
       state_ = State::kServing;
       return reply(pg::ready_for_query());
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <utility>
 
 #include "proxy/session_rules.h"
@@ -71,10 +70,9 @@
 }
 
 void ClientSession::check_closing() {
-  auto unanswered =
-      std::count_if(queue_.begin(), queue_.end(), [](auto& command) { return command->request != 0; });
+  auto unanswered = queue_.size() + (awaits_ready() ? 1 : 0);
   dispatcher_.invariants().check(is_peer_gone_ || unanswered == 0, Invariant::kClosedUnanswered, [&] {
-    return fmt::format("session {} has {} unanswered requests", number_, unanswered);
+    return fmt::format("session {} has {} unanswered commands", number_, unanswered);
   });
 }
 
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -183,9 +183,12 @@
     for (int i = 0; i < requests; ++i)
       bytes += pg::simple_query("SELECT content FROM kv WHERE name = 'k' /* id=a" + std::to_string(i) +
                                 ",c=browse,d=500,cluster=1 */");
+    send_to_session(bytes);
+    REQUIRE(session->has_unanswered_commands());
+  }
+  void send_to_session(const std::string& bytes) {
     REQUIRE(send(client.get(), bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
     session->on_ready(EPOLLIN);
-    REQUIRE(session->has_unanswered_commands());
   }
 
   net::Loop loop;
@@ -221,6 +224,23 @@
   }
 }
 
+// Guards against a client that waits for a data server and is closed unnoticed.
+TEST_CASE("invariants: closing a connection whose empty query waits for a data server counts") {
+  SessionFixture fixture(1);
+  fixture.dispatcher.client_of(1)->fail("answered");
+  fixture.decider.is_ready = false;
+  fixture.send_to_session(pg::simple_query(""));
+  fixture.session->close();
+  CHECK(fixture.dispatcher.invariants().violations(Invariant::kClosedUnanswered) == 1);
+}
+
+TEST_CASE("invariants: a client that ends its session behind a request waits for no answer") {
+  SessionFixture fixture(1);
+  fixture.send_to_session(std::string("X\0\0\0\4", 5));
+  CHECK(fixture.dispatcher.invariants().violations(Invariant::kClosedUnanswered) == 0);
+  CHECK(fixture.dispatcher.open_requests() == 0);
+}
+
 TEST_CASE("invariants: a client of an inherited socket accepted before the process can serve counts") {
   int error = 0;
   auto listener = net::listen_on(*net::parse_address("127.0.0.1:0"), &error);
--- a/tests/workers/worker_pool_test.cpp
+++ b/tests/workers/worker_pool_test.cpp
@@ -445,6 +445,29 @@
   CHECK(rig.running->counters.served == rig.running->counters.accepted);
 }
 
+// Guards against a worker that holds back answers behind an open request when the process is killed.
+TEST_CASE("workers: commands behind a request at a hanging server are answered before the kill, on each") {
+  constexpr auto kEarliestKill = 3700ms;
+  for (auto decisions : {DecisionMode::kShared, DecisionMode::kSplit}) {
+    PoolRig rig(options(2, decisions));
+    auto placed = connect_client_to_each_worker(rig.port, 2);
+    auto hang = [](const std::string&) { return Reply{Reply::kNoAnswer}; };
+    rig.primary.reply = rig.replica.reply = rig.second.reply = hang;
+    for (auto& p : placed) p->client.send(pg::simple_query(write_sql("h" + std::to_string(p->worker), 9000)));
+    REQUIRE(eventually([&] { return rig.primary.unanswered == 2; }));
+    auto told = Clock::now();
+    std::thread stopping([&] { rig.running->shut_down_and_join(); });
+    std::this_thread::sleep_until(told + 1200ms);  // new requests are rejected
+    for (auto& p : placed) p->client.send(pg::simple_query(read_sql("b" + std::to_string(p->worker), 2000)));
+    for (auto& p : placed) {
+      CHECK(p->client.answer().code == "57014");
+      CHECK(p->client.answer().code == "57P03");
+    }
+    stopping.join();
+    CHECK(Clock::now() - told < kEarliestKill);
+  }
+}
+
 TEST_CASE("workers: a drain in discovery's list stops new work from every worker at once, under load") {
   for (auto decisions : {DecisionMode::kShared, DecisionMode::kSplit}) {
     testbench::FakeServersOptions servers;
