A test takes the processes' shared folder away in one step

Cause: in the test. It removed the folder file by file while two processes went on writing their records in it; one created a file after the last was removed.

Change: the folder is renamed away, one step after which processes find none.

--- a/tests/upgrade/node.h
+++ b/tests/upgrade/node.h
@@ -42,6 +42,8 @@
 
   int port() const { return net::local_port(listening_socket.get()); }
   std::string shared_folder() const { return folder + "/tmp"; }
+  // Takes the folder away in one step: processes go on creating files in it while its files are removed.
+  void remove_shared_folder() { std::filesystem::rename(shared_folder(), folder + "/removed"); }
 
   ProcessUnderTestOptions options() {
     ProcessUnderTestOptions options;
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -382,7 +382,7 @@
       REQUIRE(becomes_healthy(*shutting_down));
       auto owner = [&] { return fcntl(node.listening_socket.get(), F_GETOWN); };
       REQUIRE(owner() == shutting_down->pid());
-      if (!has_folder) std::filesystem::remove_all(node.shared_folder());
+      if (!has_folder) node.remove_shared_folder();
       remaining->signal(SIGSTOP);
       Client busy(node.port());
       remaining->signal(SIGCONT);
