The test of idle connections makes its client idle before the limit is reached

In the plain build 32 of 320 runs failed with 80 at once beside a load.

Cause: in the test. It connected one client more than the proxy retains, each with a query, and only then paused the loop. Where that took over 50 ms, the first client was idle long enough and was closed in order before any request was sent to it. A trial printed it: in 58 failing runs the setup took 49 to 128 ms, and 30 of them had a client closed before the pause was asked for; in the others the iteration of the pause closed it. Of 532 passing runs none had.

Change: the retained clients connect first and rest; the one too many sends its request while the loop is paused, so that the next iteration is the first that may close anybody. The hook that sends all requests after that iteration's events were fetched is as before, and every request must be answered with its row.

--- a/tests/proxy/crossings_test.cpp
+++ b/tests/proxy/crossings_test.cpp
@@ -297,23 +297,29 @@
 
 TEST_CASE("crossing: a request arrives as its connection is to be closed for being idle") {
   constexpr std::size_t kDescriptors = 64, kRetained = kDescriptors / 4;
+  constexpr auto kTrimInterval = 5ms;  // between two searches for idle clients
   ProxyFixture fixture(kDescriptors);
   std::vector<std::unique_ptr<Client>> clients;
+  for (std::size_t i = 0; i < kRetained; ++i) {
+    clients.push_back(std::make_unique<Client>(fixture.port));
+    REQUIRE(clients.back()->query(read_sql("x" + std::to_string(i))).row);
+  }
+  std::this_thread::sleep_for(60ms);  // clients with a request in the last 50 ms are not closed
   std::promise<void> fetched, requests_sent;
+  Client surplus(fixture.port, false);
   {
-    std::optional<ProxyFixture::PausedLoop> paused;
-    for (std::size_t i = 0; i < kRetained + 1; ++i) {  // one more than the proxy retains
-      clients.push_back(std::make_unique<Client>(fixture.port));
-      REQUIRE(clients.back()->query(read_sql("x" + std::to_string(i))).row);
-    }
-    paused.emplace(fixture, [&](proxy::Proxy& p) {
-      p.before_iteration_end = [&, iteration = 0]() mutable {
-        if (++iteration != 2) return;  // the first iteration is the paused one
+    // The request of one client more than the proxy retains is read in the iteration after the paused one,
+    // which therefore closes the oldest client.
+    ProxyFixture::PausedLoop paused(fixture, [&](proxy::Proxy& p) {
+      p.before_iteration_end = [&, iterations = 0]() mutable {
+        if (p.clients() <= kRetained) return;
+        if (++iterations == 1) return std::this_thread::sleep_for(2 * kTrimInterval);
+        if (iterations > 2) return;
         fetched.set_value();
         requests_sent.get_future().wait();
       };
     });
-    std::this_thread::sleep_for(60ms);  // clients with a request in the last 50 ms are not closed
+    surplus.send(pg::startup_message("backend", "store") + pg::simple_query(read_sql("y")));
   }
   // The events of the iteration that closes the oldest client are fetched; now all clients send a request.
   fetched.get_future().wait();
@@ -321,6 +327,8 @@
     REQUIRE(clients[i]->send(pg::simple_query(read_sql("z" + std::to_string(i)))));
   requests_sent.set_value();
   for (auto& client : clients) CHECK(client->answer().row);
+  CHECK(surplus.answer().end == 'Z');  // of its startup
+  CHECK(surplus.answer().row);
   fixture.with_proxy([](proxy::Proxy& p) { p.before_iteration_end = [] {}; });
   run_pending_events(fixture);
 }
