A probe that lacks a local descriptor is made later instead of failing its server

Cause: an attempt for which this machine has no socket or descriptor says nothing about its server, and is reported so; a probe was reported as failed. Where the first probes of the primary met such an error, the primary was avoided, no other server took writes, and the clients' requests waited until they were rejected, 462 to 466 ms later. Nothing was lost: the load counted retries that it had not sent by its end (12 of 12) as unanswered.

Change: such a probe is tried again every 5 ms until its time is over; only then it counts as failed. The test prints the load's figures and the log when it fails.

Test: "a probe that lacks a descriptor for a moment is made later and does not fail"; red without the retry.

--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -15,6 +15,8 @@
 
 // Keeps a faulty server from filling the log.
 constexpr Micros kMalformedLogInterval{1'000'000};
+// The time after which a probe is tried again when this machine lacked a descriptor or socket for it.
+constexpr Micros kProbeRetry{5'000};
 
 }  // namespace
 
@@ -121,6 +123,8 @@
 }
 
 void ServerPool::end_unsent(const std::string& server, const ServerJob& job, AttemptOutcome outcome) {
+  bool is_local = outcome == AttemptOutcome::kNotSent;
+  if (job.is_probe && is_local) return retry_probe(server, job);
   if (job.is_probe) return events_.probe_ended({server, false, Micros(0), ""});
   AttemptEnd end;
   end.result.request = job.request;
@@ -130,6 +134,15 @@
   events_.attempt_ended(std::move(end));
 }
 
+// A probe that this machine has no descriptor or socket for is made later: its failure would be taken for the
+// server's.
+void ServerPool::retry_probe(const std::string& server, ServerJob job) {
+  auto retry_at = loop_.now() + kProbeRetry;
+  if (retry_at >= job.deadline) return events_.probe_ended({server, false, Micros(0), ""});
+  job.started_at = retry_at;
+  loop_.at(retry_at, [this, server, job] { run(server, job); });
+}
+
 void ServerPool::cancel(RequestId request, std::optional<int> attempt) {
   auto it = attempts_.find(request);
   if (it == attempts_.end()) return;
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -71,6 +71,7 @@
   };
 
   void run(const std::string& server, ServerJob job);
+  void retry_probe(const std::string& server, ServerJob job);
   void end_unsent(const std::string& server, const ServerJob& job, routing::AttemptOutcome outcome);
   void close(ServerConnection* connection);
   void close_idle(Server& server);
--- a/src/testbench/load.cpp
+++ b/src/testbench/load.cpp
@@ -401,6 +401,16 @@
   return 0;
 }
 
+std::string LoadFigures::describe() const {
+  auto text = fmt::format(
+      "attempts {}, served {}, rejected {}, failed {}, retries {}, unanswered {}, broken connections {}, "
+      "unsent {}, lost {}, longest gap {:.0f} ms",
+      attempts, served, rejected, failed, retries, unanswered, broken_connections, unsent, lost,
+      longest_gap_ms);
+  for (auto& request : unanswered_requests) text += "\n" + request;
+  return text;
+}
+
 void LoadFigures::add(const LoadFigures& o) {
   attempts += o.attempts;
   served += o.served;
--- a/src/testbench/load.h
+++ b/src/testbench/load.h
@@ -56,6 +56,7 @@
   // second of the monotonic clock in which the request was created.
   std::map<std::int64_t, std::pair<std::uint64_t, std::uint64_t>> series;
   void add(const LoadFigures& other);
+  std::string describe() const;  // one line of counts, and one for each listed request without an answer
 };
 
 // Runs the load until it ends and returns the figures of all threads. Throws std::runtime_error if it cannot
--- a/tests/proxy/peers_test.cpp
+++ b/tests/proxy/peers_test.cpp
@@ -13,6 +13,15 @@
 
 std::string error_53300() { return pg::error_response("ERROR", "53300", "full"); }
 
+// Keeps the result of one probe.
+struct ProbeRecorder : proxy::ServerEvents {
+  void attempt_ended(proxy::AttemptEnd) override {}
+  void probe_ended(routing::ProbeResult ended) override { result = std::move(ended); }
+  proxy::ClientPort* client_of(routing::RequestId) override { return nullptr; }
+  void attempt_begins(routing::RequestId, const std::string&) override {}
+  std::optional<routing::ProbeResult> result;
+};
+
 }  // namespace
 
 TEST_CASE("bad servers: an invalid answer fails the attempt at once, and a read is retried elsewhere") {
@@ -211,6 +220,31 @@
   fixture.discovery.unresponsive = false;
 }
 
+// Guards against a primary that is taken for unreachable because this machine was short of descriptors.
+TEST_CASE("fleet: a probe that lacks a descriptor for a moment is made later and does not fail") {
+  for (int shortages : {3, 1 << 20}) {
+    Server server(true);
+    net::Loop loop;
+    ProbeRecorder recorder;
+    proxy::ServerPool pool(loop, {}, recorder, [](net::Level, const std::string&) {});
+    discovery::EndpointListUpdate list;
+    list.endpoints.push_back({});
+    list.endpoints[0].id = "s";
+    list.endpoints[0].address = server.address();
+    pool.update(list);
+    pool.has_descriptor = [&shortages] { return shortages-- <= 0; };
+    pool.probe("s");
+    CHECK_FALSE(recorder.result);
+    loop.run([&] {
+      pool.start_ready_attempts();
+      pool.free_closed();
+      if (recorder.result) loop.stop();
+    });
+    bool ended_in_time = shortages < 0;  // otherwise the shortage lasts longer than a probe
+    CHECK(recorder.result->ok == ended_in_time);
+  }
+}
+
 TEST_CASE("fleet: a server at its connection limit costs one attempt, and a read is retried elsewhere") {
   ProxyFixture fixture;
   fixture.replica.rejects_connections = true;
--- a/tests/upgrade/call_faults_test.cpp
+++ b/tests/upgrade/call_faults_test.cpp
@@ -164,6 +164,8 @@
     node.faults.control().rate(fault) = static_cast<std::uint32_t>(one_in);
     auto figures = node.run_load(std::chrono::milliseconds(700));
     INFO(static_cast<int>(fault));
+    INFO(figures.describe());
+    INFO(process->log());
     CHECK(figures.served > 1000);
     CHECK(figures.unanswered == 0);
     CHECK(node.servers.invariants().describe_violations() == "");
