--- a/tests/request_router/random_events_test.cpp
+++ b/tests/request_router/random_events_test.cpp
@@ -158,7 +158,10 @@
 
   void add_request() {
     Request request = make_request(next_id_++, static_cast<Class>(pick(6)), now_ + kClientTimeout);
-    if (request.request_class == kSession) request.write_age = Micros(pick(2) * pick(400000));
+    if (request.request_class == kSession) {
+      int has_written = pick(2);
+      request.write_age = Micros(has_written * pick(400000));
+    }
     requests_[request.id].request = request;
     events_.emplace_back(request);
   }
--- a/tests/workers/worker_parts_test.cpp
+++ b/tests/workers/worker_parts_test.cpp
@@ -212,7 +212,8 @@
       auto first = timers.next();
       REQUIRE(first.has_value() == !expected.empty());
       if (first) REQUIRE(*first == expected.begin()->first.first);
-      now += Micros(static_cast<std::int64_t>(random() % (random() % 50 == 0 ? 9'000'000 : 20'000)));
+      auto longest_step = random() % 50 == 0 ? 9'000'000 : 20'000;
+      now += Micros(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(longest_step)));
       called.clear();
       timers.run(now);
       std::vector<int> due;
