An answer received in the iteration that ends open requests is passed on

What callers saw: a write's row arrives from its data server just before the last time for answers of a shutdown, in the iteration that ends open requests (one that was held up gathers all of 0.15 s). The client got 57014, "this may have run", a read 57P03; the proxy had the row in hand.

Cause: ends of attempts are passed on at the end of an iteration. The shutdown ended all open requests before that, and the answer found its request closed.

Change: end_open_requests() passes on what has arrived first.

Test: "shutdown: an answer received in the iteration that ends open requests is passed on", with and without a successor; red without the line: {57014, 57P03} where {row, 57P03} is due.

--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -118,6 +118,8 @@
 }
 
 void Dispatcher::end_open_requests() {
+  // Answers that have arrived in this iteration are passed on first.
+  for (auto& end : std::exchange(attempt_ends_, {})) finish_attempt(end);
   std::vector<RequestId> all;
   all.reserve(open_.size());
   for (auto& [request, open] : open_) all.push_back(request);
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -41,7 +41,7 @@
 
 // A fixture whose data servers hang with every request from now on.
 struct HangingServers : ProxyFixture {
-  HangingServers() {
+  explicit HangingServers(std::size_t descriptors = 200) : ProxyFixture(descriptors) {
     Client client(port);
     REQUIRE(client.query(write_sql("w0")).row);  // the primary is known from now on
     REQUIRE(client.query(read_sql("r0")).row);
@@ -122,6 +122,35 @@
   CHECK(Clock::now() - told < kEarliestKill);
 }
 
+// Guards against an answer that is given up although the proxy has received it.
+TEST_CASE("shutdown: an answer received in the iteration that ends open requests is passed on") {
+  auto mode = GENERATE(ShutdownMode::kLast, ShutdownMode::kSuccessorServes);
+  HangingServers fixture;
+  std::promise<void> released;
+  auto release = released.get_future().share();
+  fixture.primary.reply = [release](const std::string&) {
+    release.wait();
+    return Reply{};
+  };
+  Client client(fixture.port);
+  client.send(pg::simple_query(write_sql("i1", 9000)));
+  REQUIRE(eventually([&] { return fixture.primary.in_flight == 1; }));
+  auto told = Clock::now();
+  auto answers_before = fixture.primary.answers_sent.load();
+  begin_shutdown(fixture, mode);
+  std::this_thread::sleep_until(told + 3100ms);
+  {
+    ProxyFixture::PausedLoop pause(fixture);
+    client.send(pg::simple_query(read_of("k2", "i2", 9000)));
+    released.set_value();
+    REQUIRE(eventually([&] { return fixture.primary.answers_sent > answers_before; }));
+    std::this_thread::sleep_until(told + 3350ms);  // open requests end at 3300 ms
+  }
+  CHECK(outcomes(client, 2) == std::vector<std::string>{"row", "57P03"});
+  CHECK(eventually([&] { return fixture.ended.load(); }));
+  CHECK(Clock::now() - told < kEarliestKill);
+}
+
 // Guards against commands that wait for their turn on one connection, and are closed with it.
 TEST_CASE("shutdown: hundreds of commands behind a request that ends at the limit are all refused") {
   HangingServers fixture;
