A shutdown refuses the clients that it accepts late, and accepts all that wait

What callers saw: SIGTERM while a request is out at a hanging server. A client that connects 1.2 s later with its startup and a request in one go had the request forwarded to the hanging server. Of 41 such clients, 40 of them in the backlog when the last open request ended, 24 had an answer; the others' connections, which the machine had accepted, were reset.

Cause: a new connection was told that it closes between requests, and was polled, before the end of service was applied to it. And the process ended in the first iteration without a client, whatever the backlog held: an iteration accepts 16, and none for which there is no descriptor.

Change: the phase is applied to a connection when it is accepted, and to all before any is polled. The process goes on accepting while its backlog may hold a client, until all connections are closed. The backlog of an inherited socket stays the next process's.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -310,7 +310,7 @@
   auto session = std::make_unique<ClientSession>(loop_, dispatcher_, *this, std::move(fd), number, secret,
                                                  waiting_since);
   if (!session->start()) return;
-  if (shutdown_ && shutdown_->closes_idle_connections(loop_.now())) session->close_when_idle();
+  if (shutdown_) apply_phase(*session);
   sessions_.emplace(session.get(), std::move(session));
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -144,12 +144,14 @@
   EvictionScope default_eviction_scope() const;
   bool close_client(EvictionScope scope);
   void trim_idle();
-  void close_idle_clients();
+  void poll_idle_clients();
+  void apply_phase(ClientSession& session) const;
   void begin_shutdown();
   void continue_shutdown();
   void log_shutdown_backlog();
   void close_clients_for_successor();
-  void reject_new_requests();
+  void close_clients_without_commands();
+  bool has_waiting_clients() const;
   void close_all_clients();
   void stop();
   std::vector<ClientSession*> all_sessions() const;
--- a/src/proxy/proxy_shutdown.cpp
+++ b/src/proxy/proxy_shutdown.cpp
@@ -10,6 +10,13 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+// The time after which clients that wait to be accepted are tried again.
+constexpr Micros kAcceptRetry = 5ms;
+
+}  // namespace
+
 void Proxy::shut_down(ShutdownMode mode) {
   if (!shutdown_) begin_shutdown();
   bool has_new_successor = mode == ShutdownMode::kSuccessorServes && shutdown_mode_ == ShutdownMode::kLast;
@@ -36,15 +43,23 @@
 // Every command that was read gets its answer, and the process ends, before the platform kills it.
 void Proxy::continue_shutdown() {
   auto now = loop_.now();
-  close_idle_clients();
-  if (shutdown_->rejects_requests(now)) reject_new_requests();
+  if (shutdown_->closes_idle_connections(now)) poll_idle_clients();
+  if (shutdown_->rejects_requests(now)) close_clients_without_commands();
   if (shutdown_->ends_requests(now)) {
     log_shutdown_backlog();
     dispatcher_.end_open_requests();
   }
   if (shutdown_->ends_connections(now)) close_all_clients();
   bool may_stop = shutdown_mode_ == ShutdownMode::kSuccessorServes || shutdown_->rejects_requests(now);
-  if (may_stop && sessions_.empty()) stop();
+  if (!may_stop || !sessions_.empty()) return;
+  if (!has_waiting_clients() || shutdown_->ends_connections(now)) return stop();
+  loop_.cancel(&accept_retry_timer_);
+  accept_retry_timer_ = loop_.at(now + kAcceptRetry, [] {});
+}
+
+// Whether clients wait to be accepted by this process. Those of an inherited socket are the next process's.
+bool Proxy::has_waiting_clients() const {
+  return is_accepting_ && options_.inherited_listener < 0 && backlog_since_.has_value();
 }
 
 // Logs once what the remaining clients are still owed when the time for it ends.
@@ -59,21 +74,24 @@
                    total.ready_answers, total.waiting_input_bytes, total.unsent_bytes));
 }
 
-void Proxy::close_idle_clients() {
-  if (!shutdown_->closes_idle_connections(loop_.now())) return;
+// Applies the phase to each session, and reads what idle clients have sent until now.
+void Proxy::poll_idle_clients() {
   if (is_accepting_) accept_all();
   for (auto* session : all_sessions()) {
-    session->close_when_idle();
+    apply_phase(*session);
     if (sessions_.count(session) && session->is_idle()) session->poll_input();
   }
 }
 
-// Rejects what is read from now on, and closes the connections without an outstanding answer.
-void Proxy::reject_new_requests() {
+void Proxy::apply_phase(ClientSession& session) const {
+  if (shutdown_->rejects_requests(loop_.now())) return session.reject_new_requests();
+  if (shutdown_->closes_idle_connections(loop_.now())) session.close_when_idle();
+}
+
+// Closes the connections on which no answer is outstanding and no command is awaited.
+void Proxy::close_clients_without_commands() {
   bool awaits_partial_commands = shutdown_->awaits_partial_commands(loop_.now());
   for (auto* session : all_sessions()) {
-    if (!sessions_.count(session)) continue;
-    session->reject_new_requests();
     if (!sessions_.count(session)) continue;
     bool is_awaited = session->is_lingering() || session->is_busy() || session->continues() ||
                       (session->is_mid_command() && awaits_partial_commands);
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -208,6 +208,49 @@
   CHECK(Clock::now() - told < kEarliestKill);
 }
 
+// Guards against requests of new connections that are forwarded after the end of service, and against a
+// process that ends while clients wait to be accepted, also those for which it had no descriptor.
+TEST_CASE("shutdown: clients accepted after the end of service are refused, all that wait") {
+  constexpr std::size_t kMany = 200, kFewerThanWait = 34;
+  for (auto descriptors : {kMany, kFewerThanWait}) {
+    HangingServers fixture(descriptors);
+    Client busy(fixture.port);
+    fixture.send_open(busy, write_sql("a1", 9000));
+    auto told = Clock::now();
+    fixture.shut_down_gracefully();
+    std::vector<std::unique_ptr<Client>> late;
+    auto connect_late = [&](int count) {
+      for (int i = 0; i < count; ++i) {
+        late.push_back(std::make_unique<Client>(fixture.port, false));
+        auto query = pg::simple_query(read_of("k2", fmt::format("n{}", late.size()), 2000));
+        late.back()->send(pg::startup_message("backend", "store") + query);
+      }
+    };
+    auto forwarded = fixture.primary.count() + fixture.replica.count();
+    std::this_thread::sleep_until(told + kServiceEnded);
+    {
+      ProxyFixture::PausedLoop pause(fixture);
+      connect_late(1);
+    }
+    std::this_thread::sleep_until(told + 3200ms);
+    {
+      ProxyFixture::PausedLoop pause(fixture);
+      connect_late(40);                              // more than are accepted in one iteration
+      std::this_thread::sleep_until(told + 3310ms);  // the open request ends at 3300 ms
+    }
+    int refused = 0;
+    for (auto& client : late) {
+      client->answer();  // of its startup
+      refused += client->answer().code == "57P03";
+    }
+    CHECK(refused == static_cast<int>(late.size()));
+    CHECK(outcomes(busy, 1) == std::vector<std::string>{"57014"});
+    CHECK(fixture.primary.count() + fixture.replica.count() == forwarded);
+    CHECK(eventually([&] { return fixture.ended.load(); }));
+    CHECK(Clock::now() - told < kEarliestKill);
+  }
+}
+
 // Guards against clients that wait for the first data server and are closed without an answer.
 TEST_CASE("shutdown: commands that wait while no data server is up are refused once service ends") {
   ProxyFixture fixture(200, "", true, [](app::Config& config) { config.known.endpoints.clear(); });
