A connection closed over commands that wait for their turn counts as a broken invariant

What callers saw: nothing.

Change: a complete command that was read and not taken counts, whatever it waits for. A Terminate does not, nor a command behind the end of the answers.

Test: "invariants: closing a connection with commands that wait for their turn counts"; without the change it counts 0 where 1 is due.

--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -64,7 +64,7 @@
       if (!text) return fail_connection("08P01", "a Query message must contain one null-terminated string");
       return handle_query(*text);
     }
-    case 'X':  // Terminate: the client waits for no answer
+    case kTerminate:  // the client waits for no answer
       return close_lost_peer();
     case 'S':  // Sync
       state_ = State::kServing;
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -70,12 +70,21 @@
 }
 
 void ClientSession::check_closing() {
-  auto unanswered = queue_.size() + (awaits_ready() ? 1 : 0);
+  auto unanswered = queue_.size() + (has_waiting_command() ? 1 : 0);
   dispatcher_.invariants().check(is_peer_gone_ || unanswered == 0, Invariant::kClosedUnanswered, [&] {
     return fmt::format("session {} has {} unanswered commands", number_, unanswered);
   });
 }
 
+// Whether a complete command was read and not taken yet: it waits for a data server or for its turn. None
+// behind the end of the answers counts.
+bool ClientSession::has_waiting_command() const {
+  if (!has_started() || state_ == State::kFinishing || has_ended_output_) return false;
+  pg::Frame frame;
+  auto status = pg::parse_frame(input_.view().substr(parsed_), kMaxClientMessageSize, &frame);
+  return status == pg::ParseStatus::kOk && frame.type != kTerminate;
+}
+
 void SessionBacklog::add(const SessionBacklog& other) {
   open_requests += other.open_requests;
   ready_answers += other.ready_answers;
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -145,6 +145,7 @@
   // lifetime
   void on_peer_closed();
   void check_closing();
+  bool has_waiting_command() const;
   void close_lost_peer();
   bool still_connected(const QueuedCommand& command);
   void update_timeout();
--- a/src/proxy/session_rules.h
+++ b/src/proxy/session_rules.h
@@ -22,6 +22,9 @@
   std::string_view message;
 };
 
+// The type of the message with which a client ends its session.
+constexpr char kTerminate = 'X';
+
 // The error of a request that a process rejects because it shuts down: another process may serve a repeat.
 constexpr StatementError kShuttingDown{"57P03", "the proxy is shutting down"};
 
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -234,6 +234,22 @@
   CHECK(fixture.dispatcher.invariants().violations(Invariant::kClosedUnanswered) == 1);
 }
 
+// Guards against a shutdown that takes commands waiting for their turn for an idle connection, unnoticed.
+TEST_CASE("invariants: closing a connection with commands that wait for their turn counts") {
+  for (bool ends_session : {false, true}) {
+    SessionFixture fixture(1);
+    constexpr int kShare = 8;  // commands that are taken in one iteration
+    std::string commands;
+    for (int i = 1; i < kShare; ++i) commands += pg::simple_query("SET x = 1");
+    commands += ends_session ? std::string("X\0\0\0\4", 5) : pg::simple_query("SET x = 2");
+    fixture.send_to_session(commands);
+    fixture.dispatcher.client_of(1)->fail("answered");  // and with it the commands that were taken
+    CHECK_FALSE(fixture.session->has_unanswered_commands());
+    fixture.session->close();
+    CHECK(fixture.dispatcher.invariants().violations(Invariant::kClosedUnanswered) == (ends_session ? 0 : 1));
+  }
+}
+
 TEST_CASE("invariants: a client that ends its session behind a request waits for no answer") {
   SessionFixture fixture(1);
   fixture.send_to_session(std::string("X\0\0\0\4", 5));
