Workers end only when no client can be assigned to them any more

What callers saw (two workers, SIGTERM while a request is out at a hanging server): 100 clients connect, each with a request sent at once, while the thread that accepts is held up; the open request ends. None of the 100 had an answer: their connections were reset.

Cause: each worker ended by itself in its first iteration without a client. The thread that accepts found no running worker, and ended with them; a client on its way to a worker that had just ended was closed unread.

Change: from the end of service on, the thread that accepts takes what waits, and stops accepting once the backlog is empty and no worker has a client. A worker stays until then and until it has adopted the clients assigned to it; at the latest until all connections are closed, 0.25 s before the kill.

Why it holds: a client is counted as assigned before accepting can end, in the same thread, and a worker reads the two in the other order.

--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -151,7 +151,7 @@
   void log_shutdown_backlog();
   void close_clients_for_successor();
   void close_clients_without_commands();
-  bool has_waiting_clients() const;
+  bool may_get_clients() const;
   void close_all_clients();
   void stop();
   std::vector<ClientSession*> all_sessions() const;
--- a/src/proxy/proxy_shutdown.cpp
+++ b/src/proxy/proxy_shutdown.cpp
@@ -52,13 +52,15 @@
   if (shutdown_->ends_connections(now)) close_all_clients();
   bool may_stop = shutdown_mode_ == ShutdownMode::kSuccessorServes || shutdown_->rejects_requests(now);
   if (!may_stop || !sessions_.empty()) return;
-  if (!has_waiting_clients() || shutdown_->ends_connections(now)) return stop();
+  if (!may_get_clients() || shutdown_->ends_connections(now)) return stop();
   loop_.cancel(&accept_retry_timer_);
   accept_retry_timer_ = loop_.at(now + kAcceptRetry, [] {});
 }
 
-// Whether clients wait to be accepted by this process. Those of an inherited socket are the next process's.
-bool Proxy::has_waiting_clients() const {
+// Whether clients wait to be accepted by this process, or may be assigned to this proxy. Those in the backlog
+// of an inherited socket are the next process's.
+bool Proxy::may_get_clients() const {
+  if (siblings_ && siblings_->may_be_assigned_clients()) return true;
   return is_accepting_ && options_.inherited_listener < 0 && backlog_since_.has_value();
 }
 
--- a/src/proxy/sibling_workers.h
+++ b/src/proxy/sibling_workers.h
@@ -24,6 +24,8 @@
   virtual ~SiblingWorkers() = default;
   virtual void publish(const ResourceUsage& usage) = 0;
   virtual ResourceUsage sibling_usage() const = 0;  // the sum over the siblings, as last published
+  // Whether clients that were accepted elsewhere may still be assigned to this proxy.
+  virtual bool may_be_assigned_clients() const = 0;
   // Requests that a sibling soon closes something that is not needed, to free a descriptor.
   virtual void request_descriptor() = 0;
   // Forwards a client's request to cancel the statement of session `number`, which belongs to another proxy.
--- a/src/workers/worker_pool.cpp
+++ b/src/workers/worker_pool.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <stdexcept>
 #include <system_error>
@@ -123,6 +124,7 @@
     if (pool_.decision_thread_) sum.descriptors += pool_.decision_thread_->descriptors();
     return sum;
   }
+  bool may_be_assigned_clients() const override { return pool_.is_accepting() || assigned_.load() > 0; }
   void request_descriptor() override {
     if (loop_.now() - requested_descriptor_at_ < kDescriptorRequestInterval) return;
     requested_descriptor_at_ = loop_.now();
@@ -206,10 +208,24 @@
   }
   void stop() {
     pool_.control_.cancel(&retry_timer_);
-    if (std::exchange(is_accepting_, false)) pool_.control_.remove(listener_, this);
+    if (is_accepting_.exchange(false)) pool_.control_.remove(listener_, this);
   }
   int port() const { return net::local_port(listener_); }
+  // May be called from any thread. A client that is accepted is counted as assigned before this is false.
+  bool is_accepting() const { return is_accepting_.load(); }
+  // Shutdown: accepts the clients that wait, until no worker has a client. The workers may end after that.
+  void finish(const proxy::ShutdownSchedule& schedule) {
+    if (!is_accepting_) return;
+    auto now = pool_.control_.now();
+    if (schedule.rejects_requests(now)) {
+      on_ready(EPOLLIN);
+      bool is_backlog_done = is_backlog_empty_ || is_inherited();
+      if (is_backlog_done && !has_clients()) return stop();
+    }
+    pool_.control_.at(now + kAcceptRetry, [this, schedule] { finish(schedule); });
+  }
   void on_ready(std::uint32_t) override {
+    is_backlog_empty_ = false;
     if (is_inherited()) net::ensure_non_blocking(listener_);
     for (int accepted = 0; accepted < kAcceptsPerIteration; ++accepted) {
       auto worker_slots = pool_.worker_slots();
@@ -233,7 +249,10 @@
       int error = 0;
       auto fd = net::accept_from(listener_, &error);
       if (!fd) {
-        if (error == EAGAIN || error == EWOULDBLOCK) return;
+        if (error == EAGAIN || error == EWOULDBLOCK) {
+          is_backlog_empty_ = true;
+          return;
+        }
         if (error == ECONNABORTED || error == EINTR || error == EPROTO) continue;
         if (++accepts_without_descriptor_ == 1)
           pool_.log_(net::Level::kError,
@@ -253,11 +272,17 @@
     retry_timer_ = pool_.control_.at(pool_.control_.now() + kAcceptRetry, [this] { on_ready(EPOLLIN); });
   }
   bool is_inherited() const { return pool_.config_.proxy.inherited_listener >= 0; }
+  bool has_clients() const {
+    auto slots = pool_.worker_slots();
+    return std::any_of(slots.begin(), slots.end(),
+                       [](const WorkerSlot& slot) { return slot.clients + slot.assigned > 0; });
+  }
 
   WorkerPool& pool_;
   net::Fd own_listener_;
   int listener_ = -1;  // own_listener_ or the inherited one
-  bool is_accepting_ = false;
+  std::atomic<bool> is_accepting_{false};
+  bool is_backlog_empty_ = false;  // as the last accept found it
   std::size_t last_assigned_ = 0;
   std::uint64_t accepts_without_descriptor_ = 0;
   net::Loop::TimerId retry_timer_ = net::Loop::kNoTimer;
@@ -383,11 +408,20 @@
 }
 
 void WorkerPool::shut_down(proxy::ShutdownMode mode) {
-  if (!std::exchange(stopping_, true)) log_shutdown();
+  if (!std::exchange(stopping_, true)) begin_shutdown();
   if (mode == proxy::ShutdownMode::kSuccessorServes && acceptor_) acceptor_->stop();
   for (auto& worker : workers_) worker->post([mode, &p = worker->proxy()] { p.shut_down(mode); });
 }
 
+void WorkerPool::begin_shutdown() {
+  log_shutdown();
+  if (!acceptor_) return;
+  proxy::ShutdownSchedule schedule(net::monotonic_now(), config_.proxy.shutdown_limit);
+  tasks_.post([this, schedule] { acceptor_->finish(schedule); });
+}
+
+bool WorkerPool::is_accepting() const { return acceptor_ && acceptor_->is_accepting(); }
+
 void WorkerPool::log_shutdown() {
   std::size_t clients = 0;
   for (auto& slot : worker_slots()) clients += slot.clients;
--- a/src/workers/worker_pool.h
+++ b/src/workers/worker_pool.h
@@ -105,6 +105,8 @@
   std::vector<WorkerSlot> worker_slots() const;
   std::size_t descriptors_allowed() const;
   int connections_per_server() const;
+  void begin_shutdown();
+  bool is_accepting() const;  // one thread accepts clients for all workers; called from any thread
   void log_shutdown();
   void on_worker_stopped();
   void on_worker_ready();
--- a/tests/workers/worker_pool_test.cpp
+++ b/tests/workers/worker_pool_test.cpp
@@ -1,6 +1,8 @@
 // Tests of several workers on real sockets, with provoked races and stalls between the threads.
 #include "workers/worker_pool.h"
 
+#include <fmt/format.h>
+
 #include <set>
 
 #include "proxy/rig.h"
@@ -468,6 +470,41 @@
   }
 }
 
+// Guards against workers that end while clients wait to be assigned to them.
+TEST_CASE("workers: clients that wait to be accepted when the last worker could end are refused") {
+  constexpr int kLateClients = 100;
+  PoolRig rig(options(2));
+  rig.primary.reply = [](const std::string&) { return Reply{Reply::kNoAnswer}; };
+  Client busy(rig.port);
+  busy.send(pg::simple_query(write_sql("h", 9000)));
+  REQUIRE(eventually([&] { return rig.primary.unanswered == 1; }));
+  std::promise<void> stalled;
+  auto told = Clock::now();
+  rig.running->pool->on_unknown_cancel = [&](auto, auto) {  // called in the thread that accepts clients
+    stalled.set_value();
+    std::this_thread::sleep_until(told + 3320ms);
+  };
+  std::thread stopping([&] { rig.running->shut_down_and_join(); });
+  std::this_thread::sleep_until(told + 3200ms);
+  rig.running->pool->cancel(0, 0);
+  stalled.get_future().wait();
+  std::vector<std::unique_ptr<Client>> late;
+  for (int i = 0; i < kLateClients; ++i) {
+    late.push_back(std::make_unique<Client>(rig.port, false));
+    late.back()->send(pg::startup_message("backend", "store") +
+                      pg::simple_query(read_sql(fmt::format("l{}", i), 2000)));
+  }
+  CHECK(busy.answer().code == "57014");
+  int refused = 0;
+  for (auto& client : late) {
+    client->answer();  // of its startup
+    refused += client->answer().code == "57P03";
+  }
+  CHECK(refused == kLateClients);
+  stopping.join();
+  CHECK(Clock::now() - told < 3700ms);
+}
+
 TEST_CASE("workers: a drain in discovery's list stops new work from every worker at once, under load") {
   for (auto decisions : {DecisionMode::kShared, DecisionMode::kSplit}) {
     testbench::FakeServersOptions servers;
