The worker pool's acceptor in short functions, a worker's settings in their own module

What callers saw: nothing; behaviour is the same.

Change: whether a client may be accepted, what is done where it may not, and what is done where none waits were one function of 40 lines in a file of over 500. The two pure functions that give each worker its settings and seed move to worker_settings. Waking the loop to accept again stands once in Proxy.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -264,15 +264,18 @@
   must_retry_accept_ = true;
   if (!siblings_) return;
   siblings_->request_descriptor();
-  loop_.cancel(&accept_retry_timer_);
-  accept_retry_timer_ = loop_.at(loop_.now() + kAcceptRetry, [] {});
+  wake_to_accept(kAcceptRetry);
 }
 
 // The resource that the system lacks may become available without any event in this process, hence the timer.
 void Proxy::accept_after_shortage() {
   must_retry_accept_ = true;
+  wake_to_accept(kShortageRetry);
+}
+
+void Proxy::wake_to_accept(Micros delay) {
   loop_.cancel(&accept_retry_timer_);
-  accept_retry_timer_ = loop_.at(loop_.now() + kShortageRetry, [] {});
+  accept_retry_timer_ = loop_.at(loop_.now() + delay, [] {});
 }
 
 Proxy::AcceptResult Proxy::accept_one() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -141,6 +141,7 @@
   AcceptResult accept_one();
   void retry_accepting();
   void accept_after_shortage();
+  void wake_to_accept(Micros delay);  // at the end of an iteration that begins then
   EvictionScope default_eviction_scope() const;
   bool close_client(EvictionScope scope);
   void trim_idle();
--- a/src/proxy/proxy_shutdown.cpp
+++ b/src/proxy/proxy_shutdown.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// The time after which clients that wait to be accepted are tried again.
-constexpr Micros kAcceptRetry = 5ms;
+// The time after which a proxy without clients looks again whether it may get any.
+constexpr Micros kWaitForClients = 5ms;
 
 }  // namespace
 
@@ -53,8 +53,7 @@
   bool may_stop = shutdown_mode_ == ShutdownMode::kSuccessorServes || shutdown_->rejects_requests(now);
   if (!may_stop || !sessions_.empty()) return;
   if (!may_get_clients() || shutdown_->ends_connections(now)) return stop();
-  loop_.cancel(&accept_retry_timer_);
-  accept_retry_timer_ = loop_.at(now + kAcceptRetry, [] {});
+  wake_to_accept(kWaitForClients);
 }
 
 // Whether clients wait to be accepted by this process, or may be assigned to this proxy. Those in the backlog
--- a/src/workers/worker_pool.cpp
+++ b/src/workers/worker_pool.cpp
@@ -12,6 +12,7 @@
 #include "net/system_errors.h"
 #include "workers/remote_decider.h"
 #include "workers/thread_name.h"
+#include "workers/worker_settings.h"
 
 namespace database_proxy::workers {
 namespace {
@@ -35,18 +36,6 @@
 
 }  // namespace
 
-request_router::Settings settings_of_worker(request_router::Settings settings, std::size_t worker,
-                                            std::size_t count) {
-  auto n = static_cast<int>(count);
-  settings.ordinal = std::max(0, settings.ordinal) * n + static_cast<int>(worker);
-  settings.routers = std::max(1, settings.routers) * n;
-  return settings;
-}
-
-std::uint64_t seed_of_worker(std::uint64_t seed, std::size_t worker) {
-  return worker == 0 ? seed : seed ^ (0x9e3779b97f4a7c15u * worker);
-}
-
 // ---- Worker: one proxy with its thread ----
 
 class WorkerPool::Worker : public proxy::SiblingWorkers {
@@ -229,35 +218,14 @@
     if (is_inherited()) net::ensure_non_blocking(listener_);
     for (int accepted = 0; accepted < kAcceptsPerIteration; ++accepted) {
       auto worker_slots = pool_.worker_slots();
-      auto total = pool_.resource_usage_.sum_except(worker_slots.size());
-      std::size_t assigned = 0;
-      for (auto& slot : worker_slots) assigned += slot.assigned;
-      auto limit = pool_.descriptors_allowed();
-      auto max_clients = static_cast<double>(limit - kOwnDescriptors) * kClientShare;
-      auto own_descriptors = kOwnDescriptors + pool_.config_.proxy.reserved_descriptors +
-                             kDescriptorsPerProxy * worker_slots.size() +
-                             (pool_.decision_thread_ ? pool_.decision_thread_->descriptors() : 0);
-      if (static_cast<double>(total.clients + assigned) >= max_clients ||
-          total.descriptors + assigned + own_descriptors >= limit) {
-        if (auto releasing_worker = choose_worker_to_release_descriptor(worker_slots, std::nullopt))
-          pool_.workers_[*releasing_worker]->post(
-              [&p = pool_.workers_[*releasing_worker]->proxy()] { p.release_descriptor(); });
-        return retry_later();
-      }
+      if (!has_descriptor_for_client(worker_slots)) return release_and_retry(worker_slots);
       auto worker = choose_worker_for_client(worker_slots, last_assigned_);
       if (!worker) return retry_later();
       int error = 0;
       auto fd = net::accept_from(listener_, &error);
       if (!fd) {
-        if (error == EAGAIN || error == EWOULDBLOCK) {
-          is_backlog_empty_ = true;
-          return;
-        }
         if (error == ECONNABORTED || error == EINTR || error == EPROTO) continue;
-        if (++accepts_without_descriptor_ == 1)
-          pool_.log_(net::Level::kError,
-                     fmt::format("cannot accept clients for now: {}", net::message_of(error)));
-        return retry_later();
+        return on_none_accepted(error);
       }
       last_assigned_ = *worker;
       pool_.workers_[*worker]->assign_client(std::move(fd));
@@ -266,6 +234,32 @@
   }
 
  private:
+  bool has_descriptor_for_client(const std::vector<WorkerSlot>& worker_slots) const {
+    auto total = pool_.resource_usage_.sum_except(worker_slots.size());
+    std::size_t assigned = 0;
+    for (auto& slot : worker_slots) assigned += slot.assigned;
+    auto limit = pool_.descriptors_allowed();
+    auto max_clients = static_cast<double>(limit - kOwnDescriptors) * kClientShare;
+    auto own_descriptors = kOwnDescriptors + pool_.config_.proxy.reserved_descriptors +
+                           kDescriptorsPerProxy * worker_slots.size() +
+                           (pool_.decision_thread_ ? pool_.decision_thread_->descriptors() : 0);
+    return static_cast<double>(total.clients + assigned) < max_clients &&
+           total.descriptors + assigned + own_descriptors < limit;
+  }
+  void release_and_retry(const std::vector<WorkerSlot>& worker_slots) {
+    if (auto releasing_worker = choose_worker_to_release_descriptor(worker_slots, std::nullopt))
+      pool_.workers_[*releasing_worker]->post(
+          [&p = pool_.workers_[*releasing_worker]->proxy()] { p.release_descriptor(); });
+    retry_later();
+  }
+  void on_none_accepted(int error) {
+    is_backlog_empty_ = error == EAGAIN || error == EWOULDBLOCK;
+    if (is_backlog_empty_) return;
+    if (++accepts_without_descriptor_ == 1)
+      pool_.log_(net::Level::kError,
+                 fmt::format("cannot accept clients for now: {}", net::message_of(error)));
+    retry_later();
+  }
   // The listener's edge-triggered event has been consumed, so a timer makes the next try.
   void retry_later() {
     pool_.control_.cancel(&retry_timer_);
--- a/src/workers/worker_pool.h
+++ b/src/workers/worker_pool.h
@@ -50,13 +50,6 @@
   WorkerPoolOptions options;
 };
 
-// Returns the decision module's settings for one of `count` workers of this router. The module must count
-// each worker as a router of its own, or servers that are warming up would get `count` times their share.
-request_router::Settings settings_of_worker(request_router::Settings settings, std::size_t worker,
-                                            std::size_t count);
-// Returns the seed of one worker's decision module; no two workers have the same.
-std::uint64_t seed_of_worker(std::uint64_t seed, std::size_t worker);
-
 // Owns the workers and, with shared decisions, the decision thread.
 class WorkerPool {
  public:
--- a/tests/workers/worker_parts_test.cpp
+++ b/tests/workers/worker_parts_test.cpp
@@ -10,6 +10,7 @@
 #include "workers/shared_request_registry.h"
 #include "workers/spsc_queue.h"
 #include "workers/worker_pool.h"
+#include "workers/worker_settings.h"
 
 namespace database_proxy::workers {
 namespace {
