A test that a shutdown fails only the writes that may have run

Need: what a request that ends at the limit is answered was tested for a write that is out and for a read. A write that was never sent, was declined, or whose answer was lost had no test.

Change: a table of effects and of how far the request came. Without the mark of a statement that was sent, the write that is out is rejected, and the test fails for keyed and for unsafe writes.

--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -39,22 +39,27 @@
   std::vector<routing::Decision> next_decisions;
 };
 
-class NullClientPort : public ClientPort {
+// Keeps the kind of the last answer.
+class FakeClientPort : public ClientPort {
  public:
   Query query(Micros) override { return {}; }
   bool still_connected() override { return true; }
-  void serve(const Answer&) override {}
-  void reject(Micros) override {}
-  void reject_at_shutdown() override {}
-  void fail(std::string_view) override {}
+  void serve(const Answer&) override { answered_with = "row"; }
+  void reject(Micros) override { answered_with = "rejection"; }
+  void reject_at_shutdown() override { answered_with = "rejection"; }
+  void fail(std::string_view) override { answered_with = "failure"; }
+
+  std::string answered_with;
 };
 
 // A dispatcher with one open request, whose only server is never reachable.
 struct DispatcherFixture {
-  explicit DispatcherFixture(bool is_repeatable = true) {
+  explicit DispatcherFixture(bool is_repeatable = true,
+                             request_router::Effect effect = request_router::Effect::kPure) {
     routing::Request request;
     request.expires = loop.now() + 1s;
     request.is_repeatable = is_repeatable;
+    request.effect = effect;
     id = dispatcher.submit(&client, request, "name");
   }
   void decide(Kind kind, int attempt, Micros timeout = 100ms) {
@@ -78,7 +83,7 @@
 
   net::Loop loop;
   ScriptedDecider decider;
-  NullClientPort client;
+  FakeClientPort client;
   Dispatcher dispatcher{loop, decider, {}, [](net::Level, const std::string&) {}};
   RequestId id = 0;
 };
@@ -169,6 +174,33 @@
   CHECK(fixture.count(Invariant::kSendWithoutClient) == 1);
 }
 
+// Guards against a client that repeats a write which has run, and one that does not repeat what never ran.
+TEST_CASE("shutdown: a request that ends at the limit is failed only if it is a write that may have run") {
+  using request_router::Effect;
+  enum class Progress { kUndecided, kConnecting, kSent, kDeclined, kLost };
+  auto answer_to = [](Effect effect, Progress progress) {
+    DispatcherFixture fixture(effect != Effect::kUnsafe, effect);
+    if (progress != Progress::kUndecided) {
+      fixture.decide(Kind::kSend, 0);
+      fixture.dispatcher.on_iteration_end();
+    }
+    if (progress > Progress::kConnecting) fixture.dispatcher.attempt_begins(fixture.id, "s");
+    if (progress == Progress::kDeclined) fixture.end_attempt(0, routing::AttemptOutcome::kRejected);
+    if (progress == Progress::kLost) fixture.end_attempt(0, routing::AttemptOutcome::kReset);
+    fixture.dispatcher.end_open_requests();
+    return fixture.client.answered_with;
+  };
+  for (auto effect : {Effect::kKeyed, Effect::kUnsafe}) {
+    CHECK(answer_to(effect, Progress::kUndecided) == "rejection");
+    CHECK(answer_to(effect, Progress::kConnecting) == "rejection");
+    CHECK(answer_to(effect, Progress::kSent) == "failure");
+    CHECK(answer_to(effect, Progress::kDeclined) == "rejection");
+    CHECK(answer_to(effect, Progress::kLost) == "failure");
+  }
+  for (auto progress : {Progress::kUndecided, Progress::kConnecting, Progress::kSent, Progress::kLost})
+    CHECK(answer_to(Effect::kPure, progress) == "rejection");
+}
+
 namespace {
 
 // A client session that has read `requests` requests and answered none.
