A statement that is given up does not arrive later, however slowly its server reads

Cause: a statement counted as written when the socket had accepted it. What the socket held could neither be stopped by a limit nor taken back by a close, and what the server's machine held not at all (its last byte was there 0.2 s before it was read).

Change: the last byte of a statement above 2 KiB is withheld until the server's machine has taken all others, and never sent if it would be read after the limit; a connection that owes something is reset; the decision module says how long a repeat may take to arrive.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -236,6 +236,9 @@
   // first. An attempt that has not begun by then is not made, and its outcome is Status::kNotStarted.
   Micros start_within = Micros::max();
   SendReason reason = SendReason::kReplica;
+  // The time from now within which the last byte of the attempt has to arrive. An attempt that has not
+  // arrived by then is given up such that it cannot arrive later.
+  Micros arrive_within = Micros::max();
 };
 // Cancel an attempt that is in flight; the caller still has to report its outcome.
 struct Cancel {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <cerrno>
 #include <charconv>
@@ -204,6 +206,21 @@
   return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::size_t unsent_bytes(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQNSD, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+std::size_t unconfirmed_bytes(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+void set_close_mode(int fd, CloseMode mode) {
+  linger option{mode == CloseMode::kReset ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 int local_port(int fd) {
   sockaddr_storage storage{};
   socklen_t length = sizeof storage;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -52,6 +52,17 @@
 int socket_error(int fd);
 // Returns whether the peer has closed, half-closed or reset this connection, even if unread input is pending.
 bool peer_has_closed(int fd);
+// Returns the number of bytes written to this connection that have not left this machine, because the peer
+// does not take them; 0 if the system does not tell.
+std::size_t unsent_bytes(int fd);
+// Returns the number of bytes written to this connection whose receipt the peer's machine has not confirmed;
+// 0 if the system does not tell.
+std::size_t unconfirmed_bytes(int fd);
+// kReset: bytes that the peer's machine has not received are dropped, also if this process is killed.
+// kOrderly: they are still delivered.
+enum class CloseMode { kOrderly, kReset };
+// Sets what closing the connection does with bytes that are still to be sent.
+void set_close_mode(int fd, CloseMode mode);
 // Returns the port that a socket is bound to; 0: none.
 int local_port(int fd);
 
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -310,7 +310,8 @@
   ++open.attempts;
   open.is_in_flight = true;
   if (observer_) observer_->sent(decision, loop_.now() - open_.at(decision.request).since > kWaitThreshold);
-  pool_.start(decision.request, decision.attempt, decision.server, decision.timeout, decision.start_within);
+  pool_.start(decision.request, decision.attempt, decision.server, decision.timeout,
+              {.start_within = decision.start_within, .arrive_within = decision.arrive_within});
 }
 
 void Dispatcher::submit_new_requests() {
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -23,19 +23,30 @@
 constexpr std::string_view kUser = "backend", kDatabase = "store", kProbeQuery = "SHOW usage";
 // The minimum timeout sent to a data server, which takes 0 for no timeout.
 constexpr Micros kMinTimeout{1000};
+constexpr std::int64_t kMicrosPerMilli = 1000;
 constexpr std::string_view kTooManyConnections = "53300", kProtocolViolation = "08P01";
 
 }  // namespace
 
 ServerConnection::~ServerConnection() {
-  pool_.loop_.cancel(&job_timer_);
-  pool_.loop_.cancel(&idle_timer_);
+  cancel_timers();
   if (fd_) pool_.loop_.remove(fd_.get(), this);
 }
 
+void ServerConnection::cancel_timers() {
+  cancel_job_timers();
+  pool_.loop_.cancel(&idle_timer_);
+}
+
+void ServerConnection::cancel_job_timers() {
+  for (auto* timer : {&job_timer_, &writing_timer_, &arrival_timer_}) pool_.loop_.cancel(timer);
+}
+
 bool ServerConnection::open(const net::Address& address, int* error) {
   fd_ = net::start_connect(address, error);
   if (!fd_) return false;
+  // Whatever ends the connection, also a kill of this process, an attempt that is given up does not arrive.
+  net::set_close_mode(fd_.get(), net::CloseMode::kReset);
   if (pool_.loop_.add(fd_.get(), this)) return true;
   *error = errno;
   fd_.reset();
@@ -75,24 +86,31 @@
   in_.clear();
   parsed_ = 0;
   reader_.reset();
-  auto sent = job_->is_probe ? std::optional(out_.write(fd_.get(), {pg::simple_query(kProbeQuery)}))
-                             : write_attempt();
-  if (!sent) return true;  // the attempt ended without being written
+  auto status = job_->is_probe ? std::optional(write_probe()) : write_attempt();
+  if (!status) return true;  // the attempt ended without being written
   bool was_used = std::exchange(was_used_, true);
-  if (!*sent && was_used) return false;
-  if (!*sent) {
+  bool is_broken = *status == StatementWriter::Status::kBroken;
+  if (is_broken && was_used) return false;
+  if (is_broken) {
     on_connection_error();
     return true;
   }
   state_ = State::kBusy;
-  is_written_ = out_.empty();
   job_timer_ = loop.at(job_->deadline, [this] { finish(outcome_of_timeout(is_written_), false); });
+  if (job_->arrive_by < job_->deadline)
+    arrival_timer_ = loop.at(job_->arrive_by, [this] { on_arrival_limit(); });
+  on_writing_status(*status);
   return true;
 }
 
-// Sends the attempt's statement. Returns whether the write succeeded; nullopt if the attempt must not start
-// any more and has ended.
-std::optional<bool> ServerConnection::write_attempt() {
+StatementWriter::Status ServerConnection::write_probe() {
+  bool is_sent = writer_.write_at_once(fd_.get(), {pg::simple_query(kProbeQuery)});
+  return is_sent ? writer_.proceed(fd_.get(), pool_.loop_.now()) : StatementWriter::Status::kBroken;
+}
+
+// Begins to send the attempt's statement. Returns nullopt if the attempt must not start any more and has
+// ended.
+std::optional<StatementWriter::Status> ServerConnection::write_attempt() {
   auto now = pool_.loop_.now();
   auto* client = pool_.events_.client_of(job_->request);
   bool is_new_connection = state_ == State::kEstablished;  // for an idle one, the dispatcher has just checked
@@ -106,7 +124,47 @@
   }
   pool_.events_.attempt_begins(job_->request, server_);
   auto query = client->query(std::max(kMinTimeout, job_->deadline - now));
-  return out_.write(fd_.get(), {query.head, query.before, query.timeout_ms, query.after});
+  return writer_.begin(fd_.get(), query, now, std::min(job_->deadline, job_->arrive_by));
+}
+
+void ServerConnection::on_writing_status(StatementWriter::Status status) {
+  auto& loop = pool_.loop_;
+  loop.cancel(&writing_timer_);
+  switch (status) {
+    case StatementWriter::Status::kUnfinished:
+      if (writer_.awaits_server())
+        writing_timer_ =
+            loop.at(loop.now() + writer_.next_check_in(loop.now()), [this] { continue_writing(); });
+      return;
+    case StatementWriter::Status::kWritten:
+      is_written_ = true;
+      return;
+    case StatementWriter::Status::kTooLate:
+      return withdraw();
+    case StatementWriter::Status::kBroken:
+      return on_connection_error();
+  }
+}
+
+void ServerConnection::continue_writing() {
+  if (state_ == State::kBusy) on_writing_status(writer_.proceed(fd_.get(), pool_.loop_.now()));
+}
+
+// Ends the attempt unless its last byte has arrived.
+void ServerConnection::on_arrival_limit() {
+  if (!is_written_) return withdraw();
+  if (net::unconfirmed_bytes(fd_.get()) > 0) finish(outcome_of_timeout(true), false);
+}
+
+// Ends an attempt whose last byte was not sent and would arrive too late: it cannot have run.
+void ServerConnection::withdraw() {
+  pool_.log_(
+      net::Level::kInfo,
+      fmt::format("attempt withdrawn: server {} has taken {} of {} bytes after {} ms, and the last one "
+                  "would arrive too late",
+                  server_, writer_.bytes_taken(), writer_.statement_size(),
+                  (pool_.loop_.now() - job_->started_at).count() / kMicrosPerMilli));
+  finish(outcome_of_timeout(false), false);
 }
 
 void ServerConnection::on_ready(std::uint32_t events) {
@@ -115,11 +173,12 @@
     if (net::socket_error(fd_.get()) != 0) return on_connection_error();
     if (!is_writable) return;
     state_ = State::kHandshake;
-    if (!out_.write(fd_.get(), {pg::startup_message(kUser, kDatabase)})) return on_connection_error();
+    if (!writer_.write_at_once(fd_.get(), {pg::startup_message(kUser, kDatabase)}))
+      return on_connection_error();
   }
   if (is_writable) {
-    if (!out_.flush(fd_.get())) return on_connection_error();
-    if (state_ == State::kBusy && out_.empty()) is_written_ = true;
+    if (state_ == State::kBusy && !is_written_) continue_writing();
+    if (state_ == State::kHandshake && !writer_.write_at_once(fd_.get(), {})) return on_connection_error();
   }
   bool has_ended = net::reports_disconnect(events);
   if ((events & EPOLLIN) == 0 && !has_ended) return;
@@ -226,7 +285,7 @@
 
 // Ends the job; every job ends here.
 void ServerConnection::finish(AttemptOutcome outcome, bool is_reusable) {
-  pool_.loop_.cancel(&job_timer_);
+  cancel_job_timers();
   ServerJob job = *std::exchange(job_, std::nullopt);
   is_reusable_ = is_reusable && !peer_closed_;
   state_ = State::kFinished;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -10,6 +10,7 @@
 #include "net/socket.h"
 #include "proxy/answer_reader.h"
 #include "proxy/ports.h"
+#include "proxy/statement_writer.h"
 
 namespace database_proxy::proxy {
 
@@ -22,7 +23,8 @@
   int attempt = 0;
   Micros started_at{0};
   Micros deadline{0};
-  Micros start_by = Micros::max();  // latest time at which it may be written
+  Micros start_by = Micros::max();   // latest time at which its writing may begin
+  Micros arrive_by = Micros::max();  // latest time at which its last byte may arrive
 };
 
 // Owned by its pool and used in the pool's thread only.
@@ -38,13 +40,22 @@
   // and the job is written at the end of this iteration.
   enum class State { kConnecting, kHandshake, kEstablished, kIdle, kBusy, kFinished };
 
+  // Whether it carries no job, so that closing it loses nothing of one.
+  bool owes_nothing() const { return fd_ && !job_ && is_reusable_; }
   // Starts to connect. On failure, returns false and sets `error` to the errno.
   bool open(const net::Address& address, int* error);
   // Writes the job, on a new connection after the handshake. Returns false if the connection was idle and is
   // found unusable; no byte of the job was sent.
   bool begin(const ServerJob& job);
   bool write_job();
-  std::optional<bool> write_attempt();
+  std::optional<StatementWriter::Status> write_attempt();
+  StatementWriter::Status write_probe();
+  void on_writing_status(StatementWriter::Status status);
+  void continue_writing();
+  void on_arrival_limit();
+  void withdraw();
+  void cancel_timers();
+  void cancel_job_timers();
   void wait_until_established();
   ConnectionPhase phase() const;
   bool read_input(bool until_end);
@@ -62,11 +73,13 @@
   net::Fd fd_;
   State state_ = State::kConnecting;
   net::InBuffer in_;
-  net::OutBuffer out_;
+  StatementWriter writer_;
   std::optional<ServerJob> job_;
   net::Loop::TimerId job_timer_ = net::Loop::kNoTimer;
+  net::Loop::TimerId writing_timer_ = net::Loop::kNoTimer;  // while the writer awaits the server
+  net::Loop::TimerId arrival_timer_ = net::Loop::kNoTimer;
   net::Loop::TimerId idle_timer_ = net::Loop::kNoTimer;
-  bool is_written_ = false;   // the job was sent completely, so it may have run
+  bool is_written_ = false;   // the job's last byte was sent, so it may have run
   bool was_used_ = false;     // an earlier job was written on this connection
   bool is_reusable_ = false;  // may serve another job after its answer has been passed on
   bool peer_closed_ = false;
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -71,13 +71,14 @@
 }
 
 void ServerPool::start(RequestId request, int attempt, const std::string& server, Micros timeout,
-                       Micros start_within) {
+                       const TimeLimits& limits) {
   ServerJob job;
   job.request = request;
   job.attempt = attempt;
   job.started_at = loop_.now();
   job.deadline = loop_.now() + timeout;
-  if (start_within != Micros::max()) job.start_by = loop_.now() + start_within;
+  if (limits.start_within != Micros::max()) job.start_by = loop_.now() + limits.start_within;
+  if (limits.arrive_within != Micros::max()) job.arrive_by = loop_.now() + limits.arrive_within;
   run(server, job);
 }
 
@@ -153,7 +154,7 @@
 
 void ServerPool::release(void* handle) {
   auto* connection = static_cast<ServerConnection*>(handle);
-  if (!connection->is_reusable_ || !connection->out_.empty()) return close(connection);
+  if (!connection->is_reusable_ || !connection->writer_.is_idle()) return close(connection);
   auto& server = servers_[connection->server_];  // the entry outlives its connections
   if (!server.is_listed || (siblings_ && siblings_->has_too_many_connections(connection->server_)))
     return close(connection);
@@ -181,8 +182,8 @@
 void ServerPool::close(ServerConnection* connection) {
   auto it = connections_.find(connection);
   if (it == connections_.end()) return;
-  loop_.cancel(&connection->job_timer_);
-  loop_.cancel(&connection->idle_timer_);
+  connection->cancel_timers();
+  if (connection->owes_nothing()) net::set_close_mode(connection->fd_.get(), net::CloseMode::kOrderly);
   std::erase(established_, connection);
   if (connection->fd_) loop_.remove(connection->fd_.get(), connection);
   connection->fd_.reset();
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -38,9 +38,14 @@
   void update(const discovery::EndpointListUpdate& list);
   // Sets the limits of jobs and connections that begin from now on.
   void set_limits(PoolLimits limits) { limits_ = limits; }
-  // Starts an attempt, whose end is reported through ServerEvents. It is not sent later than `start_within`
-  // from now.
-  void start(RequestId request, int attempt, const std::string& server, Micros timeout, Micros start_within);
+  // Limits of an attempt, from now on.
+  struct TimeLimits {
+    Micros start_within = Micros::max();   // until its writing begins
+    Micros arrive_within = Micros::max();  // until its last byte has arrived
+  };
+  // Starts an attempt, whose end is reported through ServerEvents.
+  void start(RequestId request, int attempt, const std::string& server, Micros timeout,
+             const TimeLimits& limits);
   // Cancels the request's attempt in flight; if `attempt` is given, only an attempt of that number.
   void cancel(RequestId request, std::optional<int> attempt = std::nullopt);
   // Starts a probe, whose result is reported through ServerEvents.
--- a/src/request_router/attempt_lifecycle.cpp
+++ b/src/request_router/attempt_lifecycle.cpp
@@ -116,7 +116,7 @@
   // but would remove it from the attempts in flight that are counted here.
   Micros timeout = std::max(request.expires - state.now, kMinTimeout);
   state.actions.emplace_back(Send{request.id, member.id, timeout, start_within(state, pending, member),
-                                  reason_for(pending, member)});
+                                  reason_for(pending, member), arrive_within(state, pending)});
 }
 
 void on_outcome(RouterState& state, const Outcome& outcome) {
--- a/src/request_router/retry_policy.cpp
+++ b/src/request_router/retry_policy.cpp
@@ -91,6 +91,11 @@
   Micros notified_at = member.notified_at == kNever ? state.now : member.notified_at;
   Micros within = Micros::max();
   if (state.settings.drain_grace.count() > 0) within = notified_at + state.settings.drain_grace - state.now;
+  return std::min(within, arrive_within(state, pending));
+}
+
+Micros arrive_within(const RouterState& state, const PendingRequest& pending) {
+  Micros within = Micros::max();
   if (pending.request_class->effect != Effect::kKeyed) return within;
   Micros window = pending.request_class->key_window - state.settings.step * kWindowReserveSteps;
   for (const Attempt& attempt : pending.attempts)
--- a/src/request_router/retry_policy.h
+++ b/src/request_router/retry_policy.h
@@ -44,6 +44,10 @@
 // time the connection is established.
 Micros start_within(const RouterState& state, const PendingRequest& pending, const Member& member);
 
+// The time from now within which the last byte of an attempt must arrive: a repeat that arrives after its
+// key's window would be applied again.
+Micros arrive_within(const RouterState& state, const PendingRequest& pending);
+
 // Cancels attempts at the member that take far too long, if attempts are observed to be lost.
 void cancel_and_retry(RouterState& state, Member& member);
 
--- a/src/routing/decision_facade.h
+++ b/src/routing/decision_facade.h
@@ -84,12 +84,13 @@
   enum class Kind { kSend, kPostpone, kReject, kFail, kCancel, kProbe };
   Kind kind = Kind::kPostpone;
   RequestId request = 0;
-  int attempt = 0;                      // kSend, kCancel
-  std::string server;                   // kSend, kProbe
-  Micros timeout{0};                    // kSend: the time limit of this attempt
-  Micros start_within = Micros::max();  // kSend: the attempt is dropped if it cannot begin within this time
-  Micros retry_after{0};                // kReject; 0: no Retry-After
-  std::string_view reason = "";         // kSend, kReject, kFail: text for the log; a string literal
+  int attempt = 0;                       // kSend, kCancel
+  std::string server;                    // kSend, kProbe
+  Micros timeout{0};                     // kSend: the time limit of this attempt
+  Micros start_within = Micros::max();   // kSend: the attempt is dropped if it cannot begin within this time
+  Micros arrive_within = Micros::max();  // kSend: the attempt is given up if it has not arrived within this
+  Micros retry_after{0};                 // kReject; 0: no Retry-After
+  std::string_view reason = "";          // kSend, kReject, kFail: text for the log; a string literal
   // For a decision made in another thread: the time of the decision, the version of the endpoint list that it
   // was based on, and whether it arrived too late to be carried out and is reported back as not sent.
   Micros decided_at{0};
--- a/src/workers/remote_decider.cpp
+++ b/src/workers/remote_decider.cpp
@@ -54,8 +54,10 @@
     decision->stale = verdict != DecisionStalenessCheck::Verdict::kCurrent;
     stale_decisions_ += decision->stale;
     if (decision->kind == routing::Decision::Kind::kSend) {
-      decision->timeout -= now - decision->decided_at;
-      if (decision->start_within != Micros::max()) decision->start_within -= now - decision->decided_at;
+      auto age = now - decision->decided_at;
+      decision->timeout -= age;
+      for (auto* limit : {&decision->start_within, &decision->arrive_within})
+        if (*limit != Micros::max()) *limit -= age;
     }
     result.decisions.push_back(std::move(*decision));
     channel_.decisions.pop();
