Buffers for answers count against one budget taken from limits.memory_mb

What callers saw: 600 clients that send 100 reads at once and read nothing drove the process past its memory limit (33.6 MB at 24, 62.8 MB at 64, played on loopback), and 20 to 24 MB stayed after they had gone.

Cause: only clients' input, and answers behind an earlier one, counted against a limit. Answers being received and answers not read were bounded for each connection alone, and queued commands were not counted at all.

Change: MemoryBudget counts all of these. Freed memory is returned to the system.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -276,6 +276,8 @@
 // Whether a request that is given up because its process ends may be rejected, so that its client repeats it.
 // Otherwise it is failed: it may have run.
 bool may_reject_at_shutdown(Effect effect, bool may_have_run);
+// Whether a request may be rejected although it has run, since its answer could not be kept for the client.
+bool may_reject_after_answer(Effect effect);
 
 // Decides where requests are sent, for all groups that its member lists name.
 class Router {
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -126,7 +126,9 @@
     return;
   }
   auto request = to_request(statement, *request_class, blocked_since_.value_or(arrived_at));
-  bool exceeds_limits = queue_.size() >= kMaxPipelinedRequests || (!queue_.empty() && !account_memory());
+  auto& budget = owner_.memory_budget();
+  bool has_memory = budget.has_room_for_statements() && budget.has_room_for_waiting_answers();
+  bool exceeds_limits = queue_.size() >= kMaxPipelinedRequests || (!queue_.empty() && !has_memory);
   if (exceeds_limits || request.expires <= loop_.now())
     return reply_error("53300", "too many commands are queued on this connection");
   auto command = std::make_unique<QueuedCommand>(*this);
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -18,6 +18,9 @@
 // Number of commands of one connection that may wait for their answers; beyond it no more commands are
 // processed.
 constexpr std::size_t kMaxQueuedCommands = 256;
+// What a command takes until it is answered, beside its text and its answer: its own state, and the request's
+// in the dispatcher and the decision module.
+constexpr std::size_t kQueuedCommandBytes = 512;
 // A connection is closed if it sends no complete command within this time after it was opened, or after the
 // first byte of a later command: neither a silent connection nor an incomplete command may hold a descriptor.
 constexpr Micros kCommandTimeout = 2500ms;
@@ -41,7 +44,9 @@
       secret_(secret),
       input_(loop, waiting_since),
       connected_at_(loop.now()),
-      idle_since_(loop.now()) {}
+      idle_since_(loop.now()),
+      statement_charge_(owner.memory_budget(), BufferUse::kStatement),
+      answer_charge_(owner.memory_budget(), BufferUse::kAnswer) {}
 
 ClientSession::~ClientSession() {
   loop_.cancel(&timer_);
@@ -61,7 +66,8 @@
   state_ = State::kClosed;
   if (!gathered_.empty()) out_.write(fd_.get(), {std::exchange(gathered_, {})});
   loop_.cancel(&timer_);
-  owner_.on_buffered_change(-static_cast<std::ptrdiff_t>(std::exchange(accounted_, 0)));
+  statement_charge_.set(0);
+  answer_charge_.set(0);
   loop_.remove(fd_.get(), this);
   fd_.reset();
   for (auto& command : queue_)
@@ -123,6 +129,7 @@
     auto size_before = out_.size();
     if (!out_.flush(fd_.get())) return close_lost_peer();
     if (out_.size() != size_before) write_timeout_.reset();  // the client reads: its timeout starts again
+    account_memory();
   }
   if (is_lingering()) return discard_input();
   // The end of the peer is reported only once, and reading does not find it where it stops at a limit before
@@ -192,7 +199,7 @@
 void ClientSession::linger() {
   state_ = State::kLingering;
   input_.clear();
-  owner_.on_buffered_change(-static_cast<std::ptrdiff_t>(std::exchange(accounted_, 0)));
+  account_memory();
   loop_.cancel(&timer_);
   timer_ = loop_.at(loop_.now() + kLingerTime, [this] { close(); });
   discard_input();
@@ -222,20 +229,26 @@
     return;
   }
   if (net::is_disconnected(input_.read(fd_.get()))) return close_lost_peer();
-  auto accounted_before = accounted_;
-  bool is_within_limit = account_memory();
-  if (!is_within_limit && accounted_ > accounted_before)
+  auto charged_before = statement_charge_.bytes();
+  account_memory();
+  bool has_grown = statement_charge_.bytes() > charged_before;
+  if (has_grown && !owner_.memory_budget().has_room_for_statements())
     fail_connection("53200", "not enough buffer memory is left for a statement of this size");
 }
 
-// Reports the buffered bytes of this session to the owner. Returns false if all sessions together exceed the
-// limit.
-bool ClientSession::account_memory() {
-  auto input_memory = input_.memory() > pg::kMaxShortStatementBytes ? input_.memory() : 0;
-  auto buffered = queued_answer_bytes_ + input_memory;
-  auto change = static_cast<std::ptrdiff_t>(buffered) - static_cast<std::ptrdiff_t>(accounted_);
-  accounted_ = buffered;
-  return owner_.on_buffered_change(change);
+// Charges the budget with the buffers of this session.
+void ClientSession::account_memory() {
+  statement_charge_.set(input_.memory() > pg::kMaxShortStatementBytes ? input_.memory() : 0);
+  answer_charge_.set(queued_answer_bytes_ + unsent() + queue_.size() * kQueuedCommandBytes);
+}
+
+// While memory is short, further commands of a client are taken once it has its earlier answers.
+bool ClientSession::may_take_commands() const {
+  if (!takes_commands()) return false;
+  bool is_memory_short = !owner_.memory_budget().has_room_for_waiting_answers();
+  // During a shutdown all commands are taken: their answers are short.
+  if (is_memory_short && shutdown_ == Shutdown::kNone) return unsent() == 0 && queue_.empty();
+  return unsent() < kWriteCap && queue_.size() < kMaxQueuedCommands;
 }
 
 bool ClientSession::poll_input() {
@@ -261,7 +274,7 @@
   is_processing_ = true;
   input_.begin_iteration();
   is_blocked_ = false;
-  while (fd_ && takes_commands() && unsent() < kWriteCap && queue_.size() < kMaxQueuedCommands)
+  while (fd_ && may_take_commands())
     if (!process_next()) break;
   is_processing_ = false;
   bool closes_when_idle = shutdown_ != Shutdown::kNone;
@@ -353,8 +366,8 @@
   if (mode == WriteMode::kLast) return write_last(parts);
   bool is_gathered = mode == WriteMode::kGathered;
   if (!is_gathered && gathered_.empty()) {
-    if (!out_.write(fd_.get(), parts)) close_lost_peer();
-    return;
+    if (!out_.write(fd_.get(), parts)) return close_lost_peer();
+    return account_memory();
   }
   if (gathered_.empty()) owner_.schedule_flush(this);
   for (auto part : parts) gathered_.append(part);
@@ -374,6 +387,7 @@
   if (!fd_ || gathered_.empty()) return;
   auto gathered = std::exchange(gathered_, {});
   if (!out_.write(fd_.get(), {gathered})) return close_lost_peer();
+  account_memory();
   if (!is_processing_) update_timeout();
 }
 
@@ -422,11 +436,22 @@
   return query;
 }
 
+// An answer for which the budget has no room is given up, unless its client takes it at once: it has read all
+// earlier ones.
+bool ClientSession::has_memory_for(const QueuedCommand& command, const Answer& answer) const {
+  auto& budget = owner_.memory_budget();
+  if (answer.size() <= kShortAnswerBytes || budget.has_room_for_waiting_answers()) return true;
+  bool is_next = &command == queue_.front().get() && unsent() == 0;
+  return is_next && budget.has_room() && fd_ && net::unconfirmed_bytes(fd_.get()) == 0;
+}
+
 void ClientSession::serve(QueuedCommand& command, const Answer& answer) {
   if (&command != queue_.front().get()) {
     std::string text;
+    text.reserve(answer.size() + pg::ready_for_query().size());
     for (auto frame : answer.frames) text.append(frame);
-    return finish(command, text + pg::ready_for_query());
+    text.append(pg::ready_for_query());
+    return finish(command, std::move(text));
   }
   auto mode = mode_for_front();
   if (fd_) write({answer.frames[0], answer.frames[1], answer.frames[2], pg::ready_for_query()}, mode);
@@ -469,6 +494,7 @@
   command.is_done = true;
   queued_answer_bytes_ += answer.size();
   command.answer = std::move(answer);
+  account_memory();
   idle_since_ = loop_.now();
   flush_answers();
   if (fd_) process();
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -13,6 +13,7 @@
 #include "pg/message.h"
 #include "pg/statement.h"
 #include "proxy/dispatcher.h"
+#include "proxy/memory_budget.h"
 #include "proxy/ports.h"
 #include "proxy/session_input.h"
 
@@ -39,9 +40,8 @@
   // The session has closed its descriptor. The session must not be destroyed within this call.
   virtual void on_session_closed(ClientSession* session) = 0;
   virtual void on_cancel_request(std::uint32_t number, std::uint32_t secret) = 0;
-  // The memory buffered by a session changed by `change` bytes. Returns false if all sessions together exceed
-  // the limit.
-  virtual bool on_buffered_change(std::ptrdiff_t change) = 0;
+  // The budget for the buffers of all sessions, which outlives them.
+  virtual MemoryBudget& memory_budget() = 0;
   // The session waits until a data server is known. Requests a call of resume() then.
   virtual void on_awaiting_ready(ClientSession* session) = 0;
   // Requests a call of flush() at the end of this loop iteration. Called at most once an iteration.
@@ -112,6 +112,7 @@
   struct QueuedCommand : ClientPort {
     explicit QueuedCommand(ClientSession& owner) : session(owner) {}
     Query query(Micros timeout) override { return session.query(*this, timeout); }
+    bool has_memory_for(const Answer& answer) override { return session.has_memory_for(*this, answer); }
     void serve(const Answer& answer) override { session.serve(*this, answer); }
     bool still_connected() override { return session.still_connected(*this); }
     void reject(Micros retry_after) override;
@@ -163,7 +164,8 @@
   bool read_more_of_command();
   bool take_command(const pg::Frame& frame);
   bool is_certain_to_be_rejected() const;
-  bool account_memory();
+  void account_memory();
+  bool may_take_commands() const;
 
   // commands
   bool handle_first_message();
@@ -175,6 +177,7 @@
 
   // answers
   Query query(const QueuedCommand& command, Micros timeout) const;
+  bool has_memory_for(const QueuedCommand& command, const Answer& answer) const;
   void serve(QueuedCommand& command, const Answer& answer);
   void finish(QueuedCommand& command, std::string answer);
   void flush_answers();
@@ -209,7 +212,6 @@
   bool is_processing_ = false;      // process() is running: answers given at once must not enter it again
   std::uint64_t continues_in_ = 0;  // the iteration that continue_next_iteration() was called for
   int first_messages_ = 0;          // number of first messages received
-  std::size_t accounted_ = 0;       // bytes reported to the owner
   std::size_t discarded_ = 0;       // bytes discarded while lingering
   Micros connected_at_;
   Micros idle_since_;
@@ -222,6 +224,7 @@
   std::size_t parsed_ = 0;                            // bytes of the input that belong to the queue
   std::size_t message_size_ = 0;                      // of the message being handled
   std::size_t queued_answer_bytes_ = 0;
+  MemoryBudget::Charge statement_charge_, answer_charge_;
   bool is_blocked_ = false;  // the next command waits for an earlier one
   std::optional<Micros> blocked_since_;
 };
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -24,6 +24,7 @@
 constexpr Micros kTimeoutSlack = 150ms;
 // Tolerance for socket delays, which the testbench's checkers allow on top of their limits.
 constexpr Micros kSocketSlack = 50ms;
+constexpr Micros kDiscardedAnswerLogInterval = 1s;
 // A read that is sent later than this after its arrival has waited for a replica.
 constexpr Micros kWaitThreshold = 5ms;
 
@@ -212,12 +213,10 @@
 void Dispatcher::finish_attempt(AttemptEnd& end) {
   record_end(end.result);
   if (end.answer) {
-    if (auto* client = close(end.result.request)) {
-      ++counters_.served;
-      client->serve(*end.answer);
-    }
+    pass_on(end);
     pool_.release(end.connection);
   }
+  if (end.lacks_memory) discard_answer(end.result.request);
   if (load_reports_) load_reports_->on_contact(end.result.server, end.result.outcome);
   if (observer_) observer_->ended(end.result);
   // A request that is no longer open here has already ended, whatever the outcome of this attempt.
@@ -225,6 +224,32 @@
   decider_.report(loop_.now(), std::move(end.result));
 }
 
+void Dispatcher::pass_on(const AttemptEnd& end) {
+  auto* client = client_of(end.result.request);
+  if (!client) return;
+  if (!client->has_memory_for(*end.answer)) return discard_answer(end.result.request);
+  close(end.result.request);
+  ++counters_.served;
+  client->serve(*end.answer);
+}
+
+// Answers a request whose answer there is no memory for.
+void Dispatcher::discard_answer(RequestId request) {
+  auto it = open_.find(request);
+  if (it == open_.end()) return;
+  bool is_rejected = request_router::may_reject_after_answer(it->second.effect);
+  auto* client = close(request);
+  ++discarded_answers_;
+  if (loop_.now() >= discarded_answer_logged_at_ + kDiscardedAnswerLogInterval) {
+    discarded_answer_logged_at_ = loop_.now();
+    log_(net::Level::kWarning,
+         fmt::format("no memory is left for long answers: {} given up since the last such line",
+                     std::exchange(discarded_answers_, 0)));
+  }
+  ++(is_rejected ? counters_.rejected : counters_.failed);
+  is_rejected ? client->reject(Micros(0)) : client->fail("no memory is left for the answer; this has run");
+}
+
 // Rejects a request that cannot be decided in time, because the queue to the decision module is full or the
 // process ends before. Nothing of it has run.
 void Dispatcher::reject_undecided(RequestId request) {
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -118,6 +118,8 @@
   void check_send(const routing::Decision& decision, const OpenRequest& open);
   void record_end(const routing::AttemptResult& result);
   void finish_attempt(AttemptEnd& end);
+  void pass_on(const AttemptEnd& end);
+  void discard_answer(RequestId request);
   void send(const routing::Decision& decision);
   void probe(const std::string& server);
   void probe_or_use_report(const std::string& server);
@@ -148,6 +150,8 @@
   std::optional<routing::LoadReportCache> load_reports_;
   std::function<void(const std::string&)> on_load_report_wanted_;
   bool expects_load_reports_ = false;
+  std::uint64_t discarded_answers_ = 0;  // since the last log line about them
+  Micros discarded_answer_logged_at_{INT64_MIN / 2};
   bool logs_decisions_ = false;
   RequestObserver* observer_ = nullptr;
   std::vector<RequestId> abandoned_;
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -24,6 +24,7 @@
 // An answer as received from a data server: its messages, in order.
 struct Answer {
   std::array<std::string_view, 3> frames;  // RowDescription, DataRow, CommandComplete
+  std::size_t size() const { return frames[0].size() + frames[1].size() + frames[2].size(); }
 };
 
 // One client's request. Exactly one of serve, reject, reject_at_shutdown and fail is called, unless the
@@ -35,6 +36,8 @@
   // Called right before an attempt begins. False: the client has disconnected, and its requests have been
   // abandoned.
   virtual bool still_connected() = 0;
+  // False: there is no memory to keep the answer until the client reads it.
+  virtual bool has_memory_for(const Answer& answer) = 0;
   virtual void serve(const Answer& answer) = 0;
   virtual void reject(Micros retry_after) = 0;
   virtual void reject_at_shutdown() = 0;  // another process may serve a repeat
@@ -46,6 +49,7 @@
   routing::AttemptResult result;
   std::optional<Answer> answer;  // with kServed; valid until the connection is returned to the pool
   void* connection = nullptr;    // to be returned to the pool once the answer is passed on
+  bool lacks_memory = false;     // the answer was given up because there is no memory for it
 };
 
 // Receives the events of the data servers' connections.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,6 +1,7 @@
 #include "proxy/proxy.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <sys/random.h>
 
 #include <algorithm>
@@ -40,8 +41,6 @@
 // another.
 constexpr std::size_t kActiveClientShare = 4;
 constexpr Micros kTrimInterval = 5ms;
-// The divisor for the part of the allowed memory that all clients' incomplete statements may hold together.
-constexpr std::size_t kStatementMemoryShare = 4;
 // Discovery's agent answers at once when it has a list. Until it has answered, or until this time has passed,
 // a list from the configuration is not taken for the current one.
 constexpr Micros kFirstListTimeout = 300ms;
@@ -97,8 +96,10 @@
       dispatcher_(loop, decider, options_.pool, log, siblings, options_.number + 1, options_.count),
       on_listener_(*this),
       started_at_(loop.now()) {
+  update_memory_limit();
   dispatcher_.set_logs_decisions(options_.logs_decisions);
   dispatcher_.set_drain_grace(options_.drain_grace);
+  dispatcher_.pool().set_memory_budget(&memory_budget_);
   dispatcher_.pool().has_descriptor = [this] {
     auto used = descriptors_in_use();
     if (used < descriptors_allowed() || free_descriptor()) return true;
@@ -159,6 +160,7 @@
 void Proxy::reconfigure(const ProxyOptions& options) {
   options_.descriptors = options.descriptors;
   options_.memory = options.memory;
+  update_memory_limit();
   options_.pool = options.pool;
   options_.discovery = options.discovery;
   dispatcher_.pool().set_limits(options.pool);
@@ -192,6 +194,7 @@
   if (others.takes_requests != other_processes_.takes_requests)
     dispatcher_.share_sessions(others.takes_requests);
   other_processes_ = others;
+  update_memory_limit();
 }
 
 std::size_t Proxy::descriptors_allowed() const {
@@ -219,7 +222,8 @@
   if (!siblings_) return;
   usage_.descriptors = loop_.watched();
   usage_.clients = sessions_.size();
-  usage_.statement_bytes = buffered_;
+  usage_.statement_bytes = memory_budget_.used(BufferUse::kStatement);
+  usage_.answer_bytes = memory_budget_.used(BufferUse::kAnswer);
   // Clients that have sent a command are counted only when trim_idle() may need their number.
   if (total_clients() > options_.descriptors / kActiveClientShare &&
       loop_.now() - published_at_ >= kTrimInterval) {
@@ -229,6 +233,8 @@
       usage_.used_clients += !session->is_lingering() && !session->is_unused();
   }
   siblings_->publish(usage_);
+  auto others = siblings_->sibling_usage();
+  memory_budget_.set_sibling_usage({others.statement_bytes, others.answer_bytes});
 }
 
 void Proxy::accept_all() {
@@ -390,10 +396,13 @@
     if (idle[i]->poll_input() && idle[i]->is_idle()) idle[i]->close();
 }
 
-bool Proxy::on_buffered_change(std::ptrdiff_t change) {
-  buffered_ += static_cast<std::size_t>(change);
-  return buffered_ + (siblings_ ? siblings_->sibling_usage().statement_bytes : 0) <=
-         options_.memory / kStatementMemoryShare / (1 + other_processes_.processes);
+void Proxy::update_memory_limit() {
+  memory_budget_.set_limit(options_.memory, 1 + other_processes_.processes);
+}
+
+// Memory that was freed stays with the process where the allocator keeps it for later.
+void Proxy::release_memory() {
+  if (memory_budget_.should_release_memory(loop_.now())) malloc_trim(0);
 }
 
 void Proxy::on_session_closed(ClientSession* session) {
@@ -435,6 +444,7 @@
   }
   closed_.clear();
   publish();
+  release_memory();
 }
 
 }  // namespace database_proxy::proxy
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -113,7 +113,7 @@
   ServerPool& pool() { return dispatcher_.pool(); }
   void on_session_closed(ClientSession* session) override;
   void on_cancel_request(std::uint32_t number, std::uint32_t secret) override;
-  bool on_buffered_change(std::ptrdiff_t change) override;
+  MemoryBudget& memory_budget() override { return memory_budget_; }
   void on_awaiting_ready(ClientSession* session) override { awaiting_ready_.push_back(session); }
   void schedule_flush(ClientSession* session) override { to_flush_.push_back(session); }
 
@@ -161,6 +161,8 @@
   void release_excess_descriptors();
   std::size_t total_clients() const;
   void publish();
+  void update_memory_limit();
+  void release_memory();
   void admit(net::Fd fd, Micros waiting_since);
   std::uint32_t next_secret();
 
@@ -168,6 +170,7 @@
   ProxyOptions options_;
   net::Log log_;
   SiblingWorkers* siblings_;
+  MemoryBudget memory_budget_;
   Dispatcher dispatcher_;
   std::optional<discovery::EndpointListSubscription> discovery_;
   std::int64_t generation_ = 0;  // of the newest list, from any source
@@ -185,7 +188,6 @@
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
   std::vector<std::unique_ptr<ClientSession>> closed_;  // kept until the end of the iteration
   std::vector<ClientSession*> to_flush_, awaiting_ready_;
-  std::size_t buffered_ = 0;                  // bytes held by clients' incomplete statements
   std::optional<ShutdownSchedule> shutdown_;  // set by the signal to stop
   bool has_logged_shutdown_backlog_ = false;
   OtherProcessesUsage other_processes_;
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -28,6 +28,11 @@
 
 }  // namespace
 
+ServerConnection::ServerConnection(ServerPool& pool, std::string server)
+    : pool_(pool), server_(std::move(server)) {
+  if (pool_.memory_budget_) charge_.emplace(*pool_.memory_budget_, BufferUse::kAnswer);
+}
+
 ServerConnection::~ServerConnection() {
   cancel_timers();
   if (fd_) pool_.loop_.remove(fd_.get(), this);
@@ -206,10 +211,27 @@
     peer_closed_ = true;
     is_reusable_ = false;
   }
+  if (!account_memory()) {
+    on_memory_shortage();
+    return false;
+  }
   read_frames();
   return end == net::IoResult::kMore;
 }
 
+// Charges the budget with the input. Returns false if there is no room for more of a long answer.
+bool ServerConnection::account_memory() {
+  if (!charge_) return true;
+  charge_->set(in_.memory());
+  bool is_long_answer = state_ == State::kBusy && !job_->is_probe && in_.view().size() > kShortAnswerBytes;
+  return !is_long_answer || pool_.memory_budget_->has_room();
+}
+
+void ServerConnection::on_memory_shortage() {
+  lacks_memory_ = true;
+  finish(outcome_of_cancel(is_written_), false);
+}
+
 bool ServerConnection::awaits_input() const {
   return fd_ && (state_ == State::kHandshake || state_ == State::kBusy);
 }
@@ -316,6 +338,7 @@
     end.answer = reader_.answer(in_.view());
     end.connection = this;
   }
+  end.lacks_memory = std::exchange(lacks_memory_, false);
   pool_.events_.attempt_ended(std::move(end));
   if (!answered) pool_.release(this);
 }
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -9,6 +9,7 @@
 #include "net/loop.h"
 #include "net/socket.h"
 #include "proxy/answer_reader.h"
+#include "proxy/memory_budget.h"
 #include "proxy/ports.h"
 #include "proxy/statement_writer.h"
 
@@ -30,7 +31,7 @@
 // Owned by its pool and used in the pool's thread only.
 class ServerConnection : public net::Handler {
  public:
-  ServerConnection(ServerPool& pool, std::string server) : pool_(pool), server_(std::move(server)) {}
+  ServerConnection(ServerPool& pool, std::string server);
   ~ServerConnection() override;
   void on_ready(std::uint32_t events) override;
 
@@ -60,6 +61,8 @@
   ConnectionPhase phase() const;
   bool read_input(bool until_end);
   bool awaits_input() const;
+  bool account_memory();
+  void on_memory_shortage();
   void read_frames();
   bool on_handshake_complete();
   void finish(routing::AttemptOutcome outcome, bool is_reusable);
@@ -85,6 +88,8 @@
   bool peer_closed_ = false;
   std::size_t parsed_ = 0;  // bytes of the input that were parsed
   AnswerReader reader_;
+  std::optional<MemoryBudget::Charge> charge_;  // of the input
+  bool lacks_memory_ = false;                   // the answer was given up for want of memory
 };
 
 }  // namespace database_proxy::proxy
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -159,6 +159,7 @@
   if (!server.is_listed || (siblings_ && siblings_->has_too_many_connections(connection->server_)))
     return close(connection);
   connection->in_.clear();
+  connection->account_memory();
   connection->parsed_ = 0;
   connection->state_ = ServerConnection::State::kIdle;
   connection->idle_timer_ = loop_.at(loop_.now() + limits_.idle, [this, connection] { close(connection); });
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -12,6 +12,7 @@
 #include "net/log.h"
 #include "net/loop.h"
 #include "net/socket.h"
+#include "proxy/memory_budget.h"
 #include "proxy/ports.h"
 #include "proxy/server_connection.h"
 #include "proxy/sibling_workers.h"
@@ -56,6 +57,8 @@
   bool close_one_idle();
   // Closes an idle connection to this server, if there is one.
   void close_one_idle(const std::string& server);
+  // Sets the budget for received answers; nullptr: they are not counted. It must outlive the pool.
+  void set_memory_budget(MemoryBudget* budget) { memory_budget_ = budget; }
   std::size_t servers_known() const { return servers_.size(); }
   // Starts the attempts whose connections have been established. Called after all events of the iteration
   // have been read, so that a client's disconnection takes effect before its attempt starts.
@@ -88,6 +91,7 @@
   ServerEvents& events_;
   net::Log log_;
   SiblingWorkers* siblings_;
+  MemoryBudget* memory_budget_ = nullptr;
   std::unordered_map<std::string, Server> servers_;
   std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>> connections_;
   std::unordered_map<RequestId, ServerConnection*> attempts_;  // in flight
--- a/src/proxy/sibling_workers.h
+++ b/src/proxy/sibling_workers.h
@@ -14,8 +14,8 @@
 // The amounts of the shared resources that one proxy holds.
 struct ResourceUsage {
   std::size_t descriptors = 0, clients = 0;
-  std::size_t used_clients = 0;  // clients that have ever sent a request
-  std::size_t statement_bytes = 0;
+  std::size_t used_clients = 0;                       // clients that have ever sent a request
+  std::size_t statement_bytes = 0, answer_bytes = 0;  // buffers, as MemoryBudget counts them
 };
 
 // Called in the thread of its own proxy. Concurrent calls by other proxies are safe.
--- a/src/request_router/retry_policy.cpp
+++ b/src/request_router/retry_policy.cpp
@@ -139,4 +139,6 @@
   return effect == Effect::kPure || !may_have_run;
 }
 
+bool may_reject_after_answer(Effect effect) { return effect == Effect::kPure; }
+
 }  // namespace request_router
--- a/src/workers/shared_request_registry.cpp
+++ b/src/workers/shared_request_registry.cpp
@@ -8,13 +8,15 @@
   entry.clients.store(usage.clients, std::memory_order_relaxed);
   entry.used_clients.store(usage.used_clients, std::memory_order_relaxed);
   entry.statement_bytes.store(usage.statement_bytes, std::memory_order_relaxed);
+  entry.answer_bytes.store(usage.answer_bytes, std::memory_order_relaxed);
 }
 
 proxy::ResourceUsage ResourceUsageTable::of(std::size_t worker) const {
   auto& entry = entries_[worker];
   return {entry.descriptors.load(std::memory_order_relaxed), entry.clients.load(std::memory_order_relaxed),
           entry.used_clients.load(std::memory_order_relaxed),
-          entry.statement_bytes.load(std::memory_order_relaxed)};
+          entry.statement_bytes.load(std::memory_order_relaxed),
+          entry.answer_bytes.load(std::memory_order_relaxed)};
 }
 
 proxy::ResourceUsage ResourceUsageTable::sum_except(std::size_t worker) const {
@@ -26,6 +28,7 @@
     sum.clients += usage.clients;
     sum.used_clients += usage.used_clients;
     sum.statement_bytes += usage.statement_bytes;
+    sum.answer_bytes += usage.answer_bytes;
   }
   return sum;
 }
--- a/src/workers/shared_request_registry.h
+++ b/src/workers/shared_request_registry.h
@@ -67,7 +67,7 @@
 
  private:
   struct alignas(64) Entry {
-    std::atomic<std::size_t> descriptors{0}, clients{0}, used_clients{0}, statement_bytes{0};
+    std::atomic<std::size_t> descriptors{0}, clients{0}, used_clients{0}, statement_bytes{0}, answer_bytes{0};
   };
   std::vector<Entry> entries_;
 };
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -44,6 +44,7 @@
  public:
   Query query(Micros) override { return {}; }
   bool still_connected() override { return true; }
+  bool has_memory_for(const Answer&) override { return true; }
   void serve(const Answer&) override { answered_with = "row"; }
   void reject(Micros) override { answered_with = "rejection"; }
   void reject_at_shutdown() override { answered_with = "rejection"; }
@@ -90,11 +91,15 @@
 
 class NullSessionOwner : public SessionOwner {
  public:
+  NullSessionOwner() { memory_budget_.set_limit(64 << 20, 1); }
   void on_session_closed(ClientSession*) override {}
   void on_cancel_request(std::uint32_t, std::uint32_t) override {}
-  bool on_buffered_change(std::ptrdiff_t) override { return true; }
+  MemoryBudget& memory_budget() override { return memory_budget_; }
   void on_awaiting_ready(ClientSession*) override {}
   void schedule_flush(ClientSession*) override {}
+
+ private:
+  MemoryBudget memory_budget_;
 };
 
 }  // namespace
--- a/tests/proxy/rig.h
+++ b/tests/proxy/rig.h
@@ -50,10 +50,12 @@
   explicit Peer(int fd) : fd_(fd) {
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &kReceiveTimeout, sizeof kReceiveTimeout);
   }
-  static Peer connect_to(int port) {
+  // `receive_buffer`: its size in bytes; 0: the system's.
+  static Peer connect_to(int port, int receive_buffer = 0) {
     auto address = *net::parse_address("127.0.0.1:" + std::to_string(port));
     int fd =
         socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);  // not inherited by processes that the test starts
+    if (receive_buffer > 0) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
     REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address.storage), address.length) == 0);
     return Peer(fd);
   }
@@ -368,7 +370,8 @@
 // A blocking client of the proxy.
 class Client : public Peer {
  public:
-  explicit Client(int port, bool start_session = true) : Peer(Peer::connect_to(port)) {
+  explicit Client(int port, bool start_session = true, int receive_buffer = 0)
+      : Peer(Peer::connect_to(port, receive_buffer)) {
     if (!start_session) return;
     send(pg::startup_message("backend", "store"));
     REQUIRE(answer().end == 'Z');
