Nothing is sent for a client that has left, and its write does not run again under its id

What callers saw: a client closed with much unread, and a write of it began 0.32 s later (0.1 s is allowed); a write whose client had left ran again when its id came again, also at the successor of an upgrade (9 statements for 5 ids).

Cause: the end of a connection waits behind input that is not read, so the check before an attempt saw nothing; and an id was free again as soon as its request had ended, in memory of one process.

Change: a client with more input than is read counts as connected for 50 ms after it was last seen, then its commands wait until it confirms answers.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -1,14 +1,17 @@
 #include "app/operations.h"
 
 #include <fmt/format.h>
+#include <sys/stat.h>
 
 #include <charconv>
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
+#include <memory>
 #include <stdexcept>
 #include <utility>
 
+#include "handover/shared_memory_file.h"
 #include "net/socket.h"
 
 namespace database_proxy::app {
@@ -41,6 +44,23 @@
   return descriptor;
 }
 
+// Changes with the layout of the memory, so that versions which differ in it do not share it.
+constexpr int kEffectMemoryVersion = 1;
+constexpr std::size_t kEffectMemoryDescriptors = 1;
+
+// Returns the memory of effects that all processes on the listening socket share.
+std::shared_ptr<proxy::EffectMemory> open_effect_memory(int listener, const net::Log& log) {
+  struct stat info {};
+  auto inode = fstat(listener, &info) == 0 ? info.st_ino : 0;
+  auto name = fmt::format("database-proxy-effects-{}-{}", kEffectMemoryVersion, inode);
+  auto file = handover::open_shared_memory_file(name, proxy::EffectMemory::size_in_bytes());
+  if (file) return std::make_shared<proxy::EffectMemory>(std::move(file));
+  log(net::Level::kWarning,
+      "no memory can be shared with other processes: a write that comes again at another process may run "
+      "again");
+  return std::make_shared<proxy::EffectMemory>();
+}
+
 }  // namespace
 
 StartEnvironment StartEnvironment::read() {
@@ -122,7 +142,9 @@
     return overlaid;
   };
   options->reserved_descriptors = address_.empty() ? 0 : operator_endpoint::kListenerDescriptors;
-  if (inherited_listener_ >= 0) options->reserved_descriptors += handover::kFolderDescriptors;
+  if (inherited_listener_ < 0) return;
+  options->reserved_descriptors += handover::kFolderDescriptors + kEffectMemoryDescriptors;
+  options->effects = open_effect_memory(inherited_listener_, log_);
 }
 
 void Operations::open(Process process) {
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -134,7 +134,8 @@
   auto command = std::make_unique<QueuedCommand>(*this);
   command->request = dispatcher_.submit(command.get(), request, statement.id);
   // The open request with the same id, which may belong to another client, is not affected.
-  if (command->request == 0) return reply_error("42710", "a request with this id is already open");
+  if (command->request == 0)
+    return reply_error("42710", "a request with this id is already open or may have run");
   command->iteration = loop_.iteration();
   command->stream_offset = consumed_ + parsed_;
   command->size = command->message_size = message_size_;
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -24,6 +24,10 @@
 // A connection is closed if it sends no complete command within this time after it was opened, or after the
 // first byte of a later command: neither a silent connection nor an incomplete command may hold a descriptor.
 constexpr Micros kCommandTimeout = 2500ms;
+// The time for which a client counts as connected after that was last seen: an attempt must not begin more
+// than 0.1 s after its client has closed the connection.
+constexpr Micros kMaxPresenceAge = 50ms;
+constexpr Micros kPresenceCheckInterval = 1ms;
 // A client that reads nothing of its answers for this time is treated as gone.
 constexpr Micros kWriteTimeout = 5s;
 // Time for which input is still read and discarded after a fatal error. Closing with unread input would send
@@ -45,11 +49,14 @@
       input_(loop, waiting_since),
       connected_at_(loop.now()),
       idle_since_(loop.now()),
+      present_at_(loop.now()),
+      wrote_at_(loop.now()),
       statement_charge_(owner.memory_budget(), BufferUse::kStatement),
       answer_charge_(owner.memory_budget(), BufferUse::kAnswer) {}
 
 ClientSession::~ClientSession() {
   loop_.cancel(&timer_);
+  loop_.cancel(&presence_timer_);
   if (fd_) loop_.remove(fd_.get(), this);
 }
 
@@ -66,6 +73,7 @@
   state_ = State::kClosed;
   if (!gathered_.empty()) out_.write(fd_.get(), {std::exchange(gathered_, {})});
   loop_.cancel(&timer_);
+  loop_.cancel(&presence_timer_);
   statement_charge_.set(0);
   answer_charge_.set(0);
   loop_.remove(fd_.get(), this);
@@ -154,9 +162,37 @@
 // Returns whether the client of a command is still connected. For a request read in this loop iteration the
 // client was connected then. For earlier ones the connection is checked, since it may have ended after this
 // iteration fetched its events.
-bool ClientSession::still_connected(const QueuedCommand& command) {
-  if (fd_ && command.iteration != loop_.iteration() && net::peer_has_closed(fd_.get())) close_lost_peer();
-  return static_cast<bool>(fd_);
+ClientPresence ClientSession::presence(const QueuedCommand& command) {
+  if (fd_ && command.iteration == loop_.iteration()) return ClientPresence::kConnected;
+  if (fd_ && net::peer_has_closed(fd_.get())) close_lost_peer();
+  if (!fd_) return ClientPresence::kGone;
+  return is_presence_known() ? ClientPresence::kConnected : ClientPresence::kUnknown;
+}
+
+// While input that does not fit into the buffer waits in the socket, the end of the connection may wait
+// behind it. The client was there lately if all was read then, or if it has confirmed answers that were sent
+// then: a closed connection rejects them.
+bool ClientSession::is_presence_known() {
+  if (!input_.is_paused() || loop_.now() - present_at_ <= kMaxPresenceAge) return true;
+  bool is_all_sent = wrote_at_ > present_at_ && unsent() == 0;
+  if (!is_all_sent || net::unconfirmed_bytes(fd_.get()) > 0 || net::peer_has_closed(fd_.get())) return false;
+  present_at_ = wrote_at_;
+  return loop_.now() - present_at_ <= kMaxPresenceAge;
+}
+
+// Whether an answer is on its way to the client, or will be, that the client may confirm.
+bool ClientSession::may_become_known() const {
+  return !queue_.empty() || unsent() > 0 || wrote_at_ > present_at_;
+}
+
+// Continues once earlier answers were confirmed, or with the next answer.
+void ClientSession::wait_for_presence() {
+  bool awaits_confirmation = unsent() > 0 || wrote_at_ > present_at_;
+  if (!awaits_confirmation || presence_timer_ != net::Loop::kNoTimer) return;
+  presence_timer_ = loop_.at(loop_.now() + kPresenceCheckInterval, [this] {
+    presence_timer_ = net::Loop::kNoTimer;
+    process();
+  });
 }
 
 // Sets the timer for the next deadline of the client's reading and writing. Open requests have their own
@@ -229,6 +265,7 @@
     return;
   }
   if (net::is_disconnected(input_.read(fd_.get()))) return close_lost_peer();
+  if (!input_.is_paused()) present_at_ = loop_.now();
   auto charged_before = statement_charge_.bytes();
   account_memory();
   bool has_grown = statement_charge_.bytes() > charged_before;
@@ -298,6 +335,10 @@
     input_.on_commands_taken(parsed_);
     return false;
   }
+  if (input_.may_read_more()) {
+    fill();
+    if (!fd_ || !takes_commands()) return false;
+  }
   if (input_.must_read_more()) {
     continue_next_iteration();
     return false;
@@ -313,6 +354,11 @@
     continue_next_iteration();
     return false;
   }
+  bool must_wait = shutdown_ == Shutdown::kNone && !is_presence_known();
+  if (must_wait && may_become_known()) {
+    wait_for_presence();
+    return false;
+  }
   return take_command(frame);
 }
 
@@ -367,6 +413,7 @@
   bool is_gathered = mode == WriteMode::kGathered;
   if (!is_gathered && gathered_.empty()) {
     if (!out_.write(fd_.get(), parts)) return close_lost_peer();
+    wrote_at_ = loop_.now();
     return account_memory();
   }
   if (gathered_.empty()) owner_.schedule_flush(this);
@@ -387,6 +434,7 @@
   if (!fd_ || gathered_.empty()) return;
   auto gathered = std::exchange(gathered_, {});
   if (!out_.write(fd_.get(), {gathered})) return close_lost_peer();
+  wrote_at_ = loop_.now();
   account_memory();
   if (!is_processing_) update_timeout();
 }
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -114,7 +114,7 @@
     Query query(Micros timeout) override { return session.query(*this, timeout); }
     bool has_memory_for(const Answer& answer) override { return session.has_memory_for(*this, answer); }
     void serve(const Answer& answer) override { session.serve(*this, answer); }
-    bool still_connected() override { return session.still_connected(*this); }
+    ClientPresence presence() override { return session.presence(*this); }
     void reject(Micros retry_after) override;
     void reject_at_shutdown() override;
     void fail(std::string_view why) override;
@@ -148,7 +148,10 @@
   void check_closing();
   bool has_waiting_command() const;
   void close_lost_peer();
-  bool still_connected(const QueuedCommand& command);
+  ClientPresence presence(const QueuedCommand& command);
+  bool is_presence_known();
+  bool may_become_known() const;
+  void wait_for_presence();
   void update_timeout();
   std::optional<Micros> next_timeout() const;
   void on_timeout();
@@ -219,6 +222,9 @@
   std::optional<Micros> command_began_at_;  // of the command that is not complete
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;
   Micros timer_at_{0};
+  net::Loop::TimerId presence_timer_ = net::Loop::kNoTimer;
+  Micros present_at_;  // the last time at which the client was known to be connected
+  Micros wrote_at_;    // the last time at which answers were handed to the socket
   std::deque<std::unique_ptr<QueuedCommand>> queue_;  // in the order of the commands
   std::uint64_t consumed_ = 0;                        // bytes of the stream before the input's buffer
   std::size_t parsed_ = 0;                            // bytes of the input that belong to the queue
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -72,6 +72,7 @@
 }
 
 RequestId Dispatcher::submit(ClientPort* client, routing::Request request, std::string_view name) {
+  if (may_have_run_before(name, request.effect)) return 0;
   if (siblings_ ? !siblings_->reserve_request_name(name) : open_names_.count(name) > 0) return 0;
   request.id = std::exchange(next_id_, next_id_ + id_step_);
   request.expires = std::min(request.expires, latest_deadline_);
@@ -87,6 +88,26 @@
   return request.id;
 }
 
+bool Dispatcher::may_have_run_before(std::string_view name, request_router::Effect effect) const {
+  bool is_remembered = effects_ && effect != request_router::Effect::kPure;
+  return is_remembered && effects_->contains(name, loop_.now());
+}
+
+// Remembers a write that is about to be sent for the first time. Returns false if another request of its name
+// has been sent meanwhile, by another worker or process.
+bool Dispatcher::record_effect(OpenRequest& open) {
+  bool is_remembered = effects_ && open.effect != request_router::Effect::kPure;
+  if (!is_remembered || open.is_recorded) return true;
+  open.is_recorded = effects_->record(open.name, loop_.now());
+  return open.is_recorded;
+}
+
+// Called before a request is closed with an answer that tells its client whether it has run.
+void Dispatcher::forget_effect(RequestId request) {
+  auto it = open_.find(request);
+  if (it != open_.end() && it->second.is_recorded) effects_->forget(it->second.name, loop_.now());
+}
+
 ClientPort* Dispatcher::close(RequestId request) {
   auto it = open_.find(request);
   if (it == open_.end()) return nullptr;
@@ -130,8 +151,8 @@
 void Dispatcher::end_at_shutdown(RequestId request) {
   auto it = open_.find(request);
   if (it == open_.end()) return;
-  bool may_have_run = it->second.may_have_run || it->second.is_sent;
-  bool is_rejected = request_router::may_reject_at_shutdown(it->second.effect, may_have_run);
+  bool is_rejected = may_reject(it->second);
+  if (is_rejected) forget_effect(request);
   auto* client = close(request);
   bool is_undecided =
       std::erase_if(new_requests_, [request](auto& queued) { return queued.id == request; }) > 0;
@@ -143,6 +164,19 @@
   is_rejected ? client->reject_at_shutdown() : client->fail("the proxy is shutting down; this may have run");
 }
 
+bool Dispatcher::may_reject(const OpenRequest& open) {
+  return request_router::may_reject_at_shutdown(open.effect, open.may_have_run || open.is_sent);
+}
+
+// Ends a request that must not be sent, with its final answer.
+void Dispatcher::end_without_answer(RequestId request, std::string_view why) {
+  bool is_rejected = may_reject(open_.at(request));
+  if (is_rejected) forget_effect(request);
+  auto* client = close(request);
+  ++(is_rejected ? counters_.rejected : counters_.failed);
+  is_rejected ? client->reject(Micros(0)) : client->fail(why);
+}
+
 void Dispatcher::attempt_ended(AttemptEnd end) { attempt_ends_.push_back(std::move(end)); }
 void Dispatcher::probe_ended(routing::ProbeResult result) {
   if (logs_decisions_)
@@ -228,6 +262,7 @@
   auto* client = client_of(end.result.request);
   if (!client) return;
   if (!client->has_memory_for(*end.answer)) return discard_answer(end.result.request);
+  forget_effect(end.result.request);
   close(end.result.request);
   ++counters_.served;
   client->serve(*end.answer);
@@ -280,6 +315,7 @@
     case Kind::kSend:
       return send(decision);
     case Kind::kReject:
+      forget_effect(decision.request);
       if (auto* client = close(decision.request)) {
         ++counters_.rejected;
         client->reject(decision.retry_after);
@@ -321,16 +357,18 @@
 // request has ended here, and the client may have disconnected while the request waited.
 void Dispatcher::send(const routing::Decision& decision) {
   auto* client = client_of(decision.request);
-  if (decision.stale || !client || !client->still_connected()) {
-    AttemptEnd unsent;
-    unsent.result.request = decision.request;
-    unsent.result.attempt = decision.attempt;
-    unsent.result.server = decision.server;
-    unsent.result.outcome = routing::AttemptOutcome::kNotSent;
-    return attempt_ends_.push_back(std::move(unsent));
+  if (decision.stale || !client) return end_unsent(decision);
+  auto presence = client->presence();
+  if (presence == ClientPresence::kUnknown)
+    end_without_answer(decision.request, "the client is not known to be connected; this may have run");
+  if (presence != ClientPresence::kConnected) return end_unsent(decision);
+  auto& open = open_.at(decision.request);
+  if (!record_effect(open)) {
+    counters_.failed += 1;
+    close(decision.request)->fail("a request with this id may have run");
+    return end_unsent(decision);
   }
   ++counters_.sends;
-  auto& open = open_.at(decision.request);
   check_send(decision, open);
   ++open.attempts;
   open.is_in_flight = true;
@@ -339,6 +377,15 @@
               {.start_within = decision.start_within, .arrive_within = decision.arrive_within});
 }
 
+void Dispatcher::end_unsent(const routing::Decision& decision) {
+  AttemptEnd unsent;
+  unsent.result.request = decision.request;
+  unsent.result.attempt = decision.attempt;
+  unsent.result.server = decision.server;
+  unsent.result.outcome = routing::AttemptOutcome::kNotSent;
+  attempt_ends_.push_back(std::move(unsent));
+}
+
 void Dispatcher::submit_new_requests() {
   auto now = loop_.now();
   for (auto& request : std::exchange(new_requests_, {})) {
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -12,6 +12,7 @@
 #include "discovery/endpoint_list_codec.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "proxy/effect_memory.h"
 #include "proxy/invariants.h"
 #include "proxy/ports.h"
 #include "proxy/server_pool.h"
@@ -71,6 +72,8 @@
   void expect_load_reports(bool expected) { expects_load_reports_ = expected; }
   // nullptr: none. The observer must outlive the dispatcher.
   void set_observer(RequestObserver* observer) { observer_ = observer; }
+  // Remembers the writes that may have run; nullptr: they are not remembered. It must outlive the dispatcher.
+  void set_effect_memory(EffectMemory* effects) { effects_ = effects; }
   // Whether each attempt, rejection and failure is logged with its reason.
   void set_logs_decisions(bool logs) { logs_decisions_ = logs; }
   // The grace period after the first notice that a server is out of service, in which attempts may still
@@ -82,8 +85,8 @@
   // Probes a server in addition to the probes that the decision module requests.
   void probe_now(const std::string& server) { probe(server); }
   // Accepts a request and assigns `request.id`. The answer is delivered through the port, never during this
-  // call. Returns 0 if a request of the same name is open: a data server would take both for attempts of one
-  // request.
+  // call. Returns 0 if a request of the same name is open, since a data server would take both for attempts
+  // of one request, or if a write of this name may have run.
   RequestId submit(ClientPort* client, routing::Request request, std::string_view name);
   void abandon(RequestId request);  // its client has disconnected
   // Caps the deadline of every request that is submitted from now on.
@@ -111,6 +114,7 @@
     bool is_in_flight = false;  // an attempt is in flight
     bool is_sent = false;       // the statement of the attempt in flight may have reached the server
     bool may_have_run = false;
+    bool is_recorded = false;   // in the memory of effects
     bool is_repeatable = true;  // its class allows a retry after an attempt that may have run
     request_router::Effect effect = request_router::Effect::kPure;
   };
@@ -121,10 +125,16 @@
   void pass_on(const AttemptEnd& end);
   void discard_answer(RequestId request);
   void send(const routing::Decision& decision);
+  bool may_have_run_before(std::string_view name, request_router::Effect effect) const;
+  bool record_effect(OpenRequest& open);
+  void forget_effect(RequestId request);
+  void end_unsent(const routing::Decision& decision);
+  void end_without_answer(RequestId request, std::string_view why);
   void probe(const std::string& server);
   void probe_or_use_report(const std::string& server);
   void submit_new_requests();
   void reject_undecided(RequestId request);
+  static bool may_reject(const OpenRequest& open);
   void end_at_shutdown(RequestId request);
   void carry_out(const routing::Decision& decision);
   void log_decision(const routing::Decision& decision) const;
@@ -153,6 +163,7 @@
   std::uint64_t discarded_answers_ = 0;  // since the last log line about them
   Micros discarded_answer_logged_at_{INT64_MIN / 2};
   bool logs_decisions_ = false;
+  EffectMemory* effects_ = nullptr;
   RequestObserver* observer_ = nullptr;
   std::vector<RequestId> abandoned_;
   std::vector<routing::Request> new_requests_;
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -27,15 +27,19 @@
   std::size_t size() const { return frames[0].size() + frames[1].size() + frames[2].size(); }
 };
 
+// What is known of a client's connection. kUnknown: the client sends more than is read from it, so that the
+// end of its connection would not be seen, and nothing else has shown lately that it is there.
+enum class ClientPresence { kConnected, kGone, kUnknown };
+
 // One client's request. Exactly one of serve, reject, reject_at_shutdown and fail is called, unless the
 // client disconnects first.
 class ClientPort {
  public:
   virtual ~ClientPort() = default;
   virtual Query query(Micros timeout) = 0;
-  // Called right before an attempt begins. False: the client has disconnected, and its requests have been
+  // Called right before an attempt begins. kGone: the client has disconnected, and its requests have been
   // abandoned.
-  virtual bool still_connected() = 0;
+  virtual ClientPresence presence() = 0;
   // False: there is no memory to keep the answer until the client reads it.
   virtual bool has_memory_for(const Answer& answer) = 0;
   virtual void serve(const Answer& answer) = 0;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -100,6 +100,8 @@
   dispatcher_.set_logs_decisions(options_.logs_decisions);
   dispatcher_.set_drain_grace(options_.drain_grace);
   dispatcher_.pool().set_memory_budget(&memory_budget_);
+  if (!options_.effects) options_.effects = std::make_shared<EffectMemory>();
+  dispatcher_.set_effect_memory(options_.effects.get());
   dispatcher_.pool().has_descriptor = [this] {
     auto used = descriptors_in_use();
     if (used < descriptors_allowed() || free_descriptor()) return true;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -53,6 +53,8 @@
   std::size_t reserved_descriptors = 0;  // reserved for the operators' address
   Micros drain_grace{0};                 // from the settings; 0: they guarantee none
   bool logs_decisions = false;  // logs each attempt, rejection and failure with its reason, at level debug
+  // Shared with the other proxies of this process, and with other processes; null: the proxy has its own.
+  std::shared_ptr<EffectMemory> effects = nullptr;
   // False: lists come through apply_endpoint_list(), until watch_discovery() makes the proxy poll discovery
   // itself.
   bool watches = true;
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -119,7 +119,8 @@
   auto now = pool_.loop_.now();
   auto* client = pool_.events_.client_of(job_->request);
   bool is_new_connection = state_ == State::kEstablished;  // for an idle one, the dispatcher has just checked
-  if (!client || (is_new_connection && !client->still_connected())) {
+  bool is_connected = client && (!is_new_connection || client->presence() == ClientPresence::kConnected);
+  if (!is_connected) {
     if (job_) finish(outcome_of_cancel(false), false);  // otherwise it has ended together with its request
     return std::nullopt;
   }
--- a/src/proxy/session_input.h
+++ b/src/proxy/session_input.h
@@ -47,6 +47,8 @@
   bool is_paused() const { return is_paused_; }
   bool is_share_used_up() const { return bytes_left_ == 0; }
   bool is_buffer_full() const { return buffer_.view().size() >= kReadAhead; }
+  // Reading stopped at a limit that no longer holds.
+  bool may_read_more() const { return is_paused_ && !is_share_used_up() && !is_buffer_full(); }
   // More must be read before a command is started: the end of the client's stream may follow it.
   bool must_read_more() const { return is_paused_ && is_share_used_up() && !is_buffer_full(); }
 
--- a/src/workers/worker_pool.cpp
+++ b/src/workers/worker_pool.cpp
@@ -295,6 +295,7 @@
       connections_per_server_(config_.options.connections_per_server),
       tasks_(control),
       started_at_(control.now()) {
+  if (!config_.proxy.effects) config_.proxy.effects = std::make_shared<proxy::EffectMemory>();
   auto& o = config_.options;
   if (o.decisions == DecisionMode::kShared) {
     auto decisions_log = make_log_("decisions");
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -43,7 +43,7 @@
 class FakeClientPort : public ClientPort {
  public:
   Query query(Micros) override { return {}; }
-  bool still_connected() override { return true; }
+  ClientPresence presence() override { return ClientPresence::kConnected; }
   bool has_memory_for(const Answer&) override { return true; }
   void serve(const Answer&) override { answered_with = "row"; }
   void reject(Micros) override { answered_with = "rejection"; }
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -320,6 +320,44 @@
   CHECK(first->wait() == 0);
 }
 
+// Guards against a write running again at the successor, when its client has left and its id comes again
+// there.
+TEST_CASE("upgrade: a write whose client left the old process does not run again at its successor") {
+  Node node;
+  Server primary(true);
+  Discovery discovery;
+  discovery.set(endpoint_entry("s-p", primary));
+  std::atomic<bool> is_held{false};
+  primary.reply = [&](const std::string&) {
+    eventually([&] { return !is_held; });
+    return Reply{};
+  };
+  auto start = [&] {
+    auto options = node.options();
+    options.discovery = discovery.address();
+    options.known_members = nlohmann::json::parse(discovery.list());
+    return node.start(options);
+  };
+  auto old_process = start();
+  REQUIRE(becomes_healthy(*old_process));
+  auto client = std::make_unique<Client>(node.port());
+  REQUIRE(eventually(
+      [&, number = 0]() mutable { return client->query(write_sql("w" + std::to_string(++number))).row; }));
+  is_held = true;
+  auto before = primary.count();
+  client->send(pg::simple_query(write_sql("left", 4000)));
+  REQUIRE(eventually([&] { return primary.count() == before + 1; }));
+  auto successor = start();
+  REQUIRE(becomes_healthy(*successor));
+  client.reset();
+  old_process->signal(SIGTERM);
+  std::this_thread::sleep_for(300ms);  // from now on, the successor alone accepts clients
+  Client next(node.port());
+  CHECK(next.query(write_sql("left", 1500)).code == "42710");
+  CHECK(primary.count() == before + 1);
+  is_held = false;
+}
+
 TEST_CASE("upgrade: two concurrently running processes together keep within the descriptor limit of one") {
   Node node;
   auto options = node.options();
