A long answer that its server writes slowly is waited for while its client waits

Cause: a pause of 0.1 s within an answer counted as malformed, whatever its length.

Change: an answer whose value is announced as longer than 16 KiB, or has not begun, may pause until its client's time is up; then it ends with its final answer. An attempt whose answer has begun is not cancelled for being late.

--- a/src/proxy/answer_reader.h
+++ b/src/proxy/answer_reader.h
@@ -37,6 +37,8 @@
   routing::AttemptOutcome outcome() const;
   // Whether the answer has begun.
   bool has_begun() const { return row_description_.size > 0 || !error_code_.empty(); }
+  // Whether the next message should be the row.
+  bool awaits_row() const { return row_description_.size > 0 && data_row_.size == 0; }
   // The three messages of a served request.
   Answer answer(std::string_view input) const;
   // The value of the row's one column.
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -16,9 +16,8 @@
 
 constexpr std::size_t kMaxMessageSize = 192 * 1024;  // a value of 64 KiB takes 128 KiB as hexadecimal digits
 constexpr std::size_t kMaxBufferedInput = 2 * kMaxMessageSize;
-// Time without input after which a partial answer counts as malformed. Answers, also those of 64 KiB, arrive
-// within a few round trips; after a longer pause the answer was truncated, or a wrong length makes the reader
-// wait for bytes that never arrive.
+// A short answer that pauses for this time counts as malformed: it was truncated, or a wrong length makes the
+// reader wait for bytes that never arrive. The rest of its client's time is for another attempt.
 constexpr Micros kMaxAnswerPause{100'000};
 constexpr std::string_view kUser = "backend", kDatabase = "store", kProbeQuery = "SHOW usage";
 // The minimum timeout sent to a data server, which takes 0 for no timeout.
@@ -192,12 +191,34 @@
   while (read_input(has_ended) && awaits_input()) {
   }
   if (!fd_ || state_ != State::kBusy) return;
-  bool has_begun = parsed_ != in_.view().size() || reader_.has_begun();
-  if (!has_begun) return;
+  if (has_begun_answer()) limit_answer_pause();
+}
+
+bool ServerConnection::has_begun_answer() const {
+  return state_ == State::kBusy && (parsed_ != in_.view().size() || reader_.has_begun());
+}
+
+// Whether the answer's value is long by the length that its server has announced, or has not begun yet: the
+// server may be slow to write it, so it may pause for as long as its client waits.
+bool ServerConnection::may_pause() const {
+  if (reader_.value(in_.view()).size() > kShortAnswerBytes) return true;
+  if (!reader_.awaits_row()) return false;
+  auto partial_message = in_.view().substr(parsed_);
+  if (partial_message.empty()) return true;
+  pg::Frame frame;
+  bool is_long = pg::parse_frame(partial_message, kShortAnswerBytes, &frame) == pg::ParseStatus::kBad;
+  return is_long && partial_message[0] == 'D';
+}
+
+// Called when more of an answer has arrived, and not all of it.
+void ServerConnection::limit_answer_pause() {
   auto& loop = pool_.loop_;
+  auto pause_ends = loop.now() + kMaxAnswerPause;
   loop.cancel(&job_timer_);
-  job_timer_ =
-      loop.at(std::min(job_->deadline, loop.now() + kMaxAnswerPause), [this] { on_malformed_answer(); });
+  if (may_pause() || pause_ends >= job_->deadline)
+    job_timer_ = loop.at(job_->deadline, [this] { finish(outcome_of_timeout(is_written_), false); });
+  else
+    job_timer_ = loop.at(pause_ends, [this] { on_malformed_answer(); });
 }
 
 // Reads and processes input. Returns false if no more is available for now. `until_end`: reads up to the
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -64,6 +64,9 @@
   bool account_memory();
   void on_memory_shortage();
   void read_frames();
+  bool has_begun_answer() const;
+  bool may_pause() const;
+  void limit_answer_pause();
   bool on_handshake_complete();
   void finish(routing::AttemptOutcome outcome, bool is_reusable);
   void report_probe(const ServerJob& job, bool answered);
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -149,6 +149,7 @@
   if (it == attempts_.end()) return;
   auto* connection = it->second;
   if (attempt && connection->job_->attempt != *attempt) return;
+  if (attempt && connection->has_begun_answer()) return;  // it was cancelled for being late, and is coming
   connection->finish(outcome_of_cancel(connection->is_written_), false);
 }
 
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -47,7 +47,8 @@
   // Starts an attempt, whose end is reported through ServerEvents.
   void start(RequestId request, int attempt, const std::string& server, Micros timeout,
              const TimeLimits& limits);
-  // Cancels the request's attempt in flight; if `attempt` is given, only an attempt of that number.
+  // Cancels the request's attempt in flight; if `attempt` is given, only an attempt of that number, and only
+  // before its answer begins to arrive.
   void cancel(RequestId request, std::optional<int> attempt = std::nullopt);
   // Starts a probe, whose result is reported through ServerEvents.
   void probe(const std::string& server);
