--- a/src/handover/shared_memory_file.cpp
+++ b/src/handover/shared_memory_file.cpp
@@ -26,7 +26,8 @@
 
 bool is_process_directory(const fs::path& path) {
   auto name = path.filename().string();
-  return std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+  return std::all_of(name.begin(), name.end(),
+                     [](unsigned char character) { return std::isdigit(character) != 0; });
 }
 
 // Processes may end, and descriptors be closed, while they are looked through.
