--- a/tests/proxy/rig.h
+++ b/tests/proxy/rig.h
@@ -31,6 +31,9 @@
 using namespace std::chrono_literals;
 using Clock = std::chrono::steady_clock;
 
+// The protocol's limits are this much longer on sockets.
+constexpr auto kSocketSlack = 50ms;
+
 inline std::int64_t unix_ms() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
