Review case 7: a long value is cut off, or held back until its end

Change: a case in which data servers give values of 1 MiB over 0.5 s and of 128 KiB over 3 s.

Nothing of the program was changed.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../common-2/run-case.sh" 7
