--- a/src/handover/process_exchange.cpp
+++ b/src/handover/process_exchange.cpp
@@ -43,21 +43,23 @@
       stale_removed_at_(started_at_) {
   own_record_.process = ProcessIdentity::own();
   if (!folder.empty())
-    folder_.emplace(RecordFolder(folder, inode_of(listener), own_record_.process, log), kFolderReadInterval);
+    folder_.emplace(RecordFolderThread::FolderOptions{folder, inode_of(listener), own_record_.process, log},
+                    kFolderReadInterval);
   scan_periodically();  // cordons take effect from the first decision on
   remove_stale(started_at_);
 }
 
 // Other running processes may not have read the last cordon marks yet: the record stays, and they merge the
 // marks and remove it. Without other processes, the record stays only for cordons that are not stored on the
-// socket.
+// socket. On a busy disk none of this is waited for: an earlier record stays, as after a kill.
 ProcessExchange::~ProcessExchange() {
   loop_.cancel(&timer_);
   if (!folder_) return;
-  auto& folder = folder_->stop();
-  if (!is_stored_in_folder()) folder.write(own_record_);
   bool is_needed = other_processes_.count > 0 || (!is_stored_on_socket_ && !own_record_.cordons.empty());
-  if (!is_needed) folder.remove_own();
+  RecordFolderThread::LastTasks last;
+  if (is_needed) last.record_if_unwritten = own_record_;
+  last.removes_own_record = !is_needed;
+  folder_->end(last);
 }
 
 bool ProcessExchange::is_stored_in_folder() const {
--- a/src/handover/record_folder_thread.h
+++ b/src/handover/record_folder_thread.h
@@ -1,11 +1,10 @@
 // Reads and writes a record folder in a separate thread: access to a file may take seconds on a busy disk,
-// and the event loop must not wait for it. Used by the thread of one loop.
+// and neither the event loop nor the end of the process may wait for it. Used by the thread of one loop.
 #pragma once
 
-#include <condition_variable>
+#include <cstdint>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -22,10 +21,20 @@
  public:
   using Records = std::map<std::string, ProcessRecord>;
   enum class WriteStatus { kPending, kWritten, kFailed };
+  struct FolderOptions {
+    std::string path;
+    std::uint64_t socket_inode = 0;
+    ProcessIdentity own;
+    net::Log log;
+  };
+  struct LastTasks {
+    std::optional<ProcessRecord> record_if_unwritten;  // written if the record submitted last is not
+    bool removes_own_record = false;
+  };
 
   // Reads the folder once before it returns, and every `interval` afterwards.
-  RecordFolderThread(RecordFolder folder, Micros interval);
-  // Waits for the pending tasks.
+  RecordFolderThread(const FolderOptions& folder, Micros interval);
+  // Ends like end({}).
   ~RecordFolderThread();
   RecordFolderThread(const RecordFolderThread&) = delete;
   RecordFolderThread& operator=(const RecordFolderThread&) = delete;
@@ -40,29 +49,16 @@
   // Both are executed after a record that was submitted before.
   void remove(const std::string& name);
   void remove_stale(Micros now);
-  // Executes the pending tasks and ends the thread. Afterwards only the caller uses the returned folder.
-  RecordFolder& stop();
+  // Executes the pending tasks and the last ones, and ends the thread. Waits no longer than on a disk that is
+  // not busy: after that the thread is left behind, executes nothing more than its current task, and logs
+  // nothing. To be called once.
+  void end(const LastTasks& last);
 
  private:
-  struct Tasks {
-    std::optional<ProcessRecord> record;
-    std::vector<std::string> removals;
-    std::optional<Micros> stale_as_of;
-    bool empty() const { return !record && removals.empty() && !stale_as_of; }
-  };
-
-  void run();
-  void carry_out(const Tasks& tasks);
-  void set_status(WriteStatus status);
+  class Worker;
 
-  RecordFolder folder_;
-  const Micros interval_;
-  mutable std::mutex mutex_;
-  std::condition_variable wake_, write_done_;
-  Tasks tasks_;
-  WriteStatus status_ = WriteStatus::kFailed;  // nothing is written yet
-  std::shared_ptr<const Records> other_records_;
-  bool is_stopping_ = false;
+  // Shared with the thread, which may outlast this object.
+  std::shared_ptr<Worker> worker_;
   std::thread thread_;
 };
 
--- a/tests/upgrade/call_faults_test.cpp
+++ b/tests/upgrade/call_faults_test.cpp
@@ -154,6 +154,33 @@
   CHECK(figures.longest_gap_ms < 500);
 }
 
+// Guards against a process that waits for its disk once its last connection is closed, and is killed.
+TEST_CASE("calls: a process whose disk takes over a second ends within the shutdown limit") {
+  FakeServersOptions servers_options;
+  servers_options.model.service_us = 2'900'000;
+  servers_options.model.service_variation = 0;
+  FaultyNode node(servers_options);
+  auto old = node.start_faulty();
+  REQUIRE(becomes_healthy(*old));
+  Client client(node.port());
+  auto next = node.start();
+  REQUIRE(becomes_healthy(*next));
+  client.send(pg::simple_query(read_statement("slow", 3500)));
+  auto signalled_at = std::chrono::steady_clock::now();
+  old->signal(SIGTERM);
+  std::this_thread::sleep_until(signalled_at + std::chrono::milliseconds(2700));
+  REQUIRE(old->running());
+  node.faults.control().rate(CallFault::kSlowOpen) = 1;
+  // The old process reads the changed record of the new one, which takes 1.2 s now.
+  CHECK(next->operator_call("cordon " + node.servers.servers().back(), kCallTimeout).starts_with("YES"));
+  bool has_ended_in_time = eventually([&] { return !old->running(); },
+                                      signalled_at + kShutdownLimit - std::chrono::steady_clock::now());
+  std::chrono::duration<double> taken = std::chrono::steady_clock::now() - signalled_at;
+  INFO(fmt::format("{:.2f} s\n{}", taken.count(), old->log()));
+  CHECK(has_ended_in_time);
+  CHECK(old->exit_code() == 0);
+}
+
 TEST_CASE("calls: failing system calls and short writes under load lose no request") {
   for (auto [fault, one_in] : {std::pair(CallFault::kShortWrite, 8), std::pair(CallFault::kInterrupted, 4),
                                std::pair(CallFault::kAccept, 3), std::pair(CallFault::kSocket, 3),
