A bounded read whose connection comes up too late is decided again

Cause: the age of data was judged at the decision alone. The read was written when its connection came up, without another look.

Change: replication_lag says how long the known position stays within the bound (fresh_within, in Send); the limit holds for the read's last byte. A connection that is ready later does not write the read and becomes idle; the attempt ends as not started, and the read is decided again with what is known by then. Its server is not charged with a failure, and the read is not given up because half of its time is over. A line in the log tells the lateness.

Why it works: a known position only rises, so what is sent before the limit is within the bound, and what is sent after a new decision is within the one that was made from it.

The test "late arrival: a bounded read is not sent ..." fails without the check in end_if_not_fresh (the lagging replica gets the read, for both bounds) and passes with it.

--- a/include/request_router/router.h
+++ b/include/request_router/router.h
@@ -239,6 +239,10 @@
   // The time from now within which the last byte of the attempt has to arrive. An attempt that has not
   // arrived by then is given up such that it cannot arrive later.
   Micros arrive_within = Micros::max();
+  // The time from now within which the last byte of the attempt has to be sent: until then the member's data
+  // is known to be recent enough for the read. An attempt whose last byte was not sent by then is not
+  // completed, its outcome is Status::kNotStarted, and the request is decided again.
+  Micros fresh_within = Micros::max();
 };
 // Cancel an attempt that is in flight; the caller still has to report its outcome.
 struct Cancel {
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -374,7 +374,9 @@
   open.is_in_flight = true;
   if (observer_) observer_->sent(decision, loop_.now() - open_.at(decision.request).since > kWaitThreshold);
   pool_.start(decision.request, decision.attempt, decision.server, decision.timeout,
-              {.start_within = decision.start_within, .arrive_within = decision.arrive_within});
+              {.start_within = decision.start_within,
+               .arrive_within = decision.arrive_within,
+               .fresh_within = decision.fresh_within});
 }
 
 void Dispatcher::end_unsent(const routing::Decision& decision) {
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -101,8 +101,7 @@
   }
   state_ = State::kBusy;
   job_timer_ = loop.at(job_->deadline, [this] { finish(outcome_of_timeout(is_written_), false); });
-  if (job_->arrive_by < job_->deadline)
-    arrival_timer_ = loop.at(job_->arrive_by, [this] { on_arrival_limit(); });
+  limit_arrival(*status);
   on_writing_status(*status);
   return true;
 }
@@ -127,9 +126,26 @@
     finish(outcome_of_timeout(false), false);
     return std::nullopt;
   }
+  if (end_if_not_fresh()) return std::nullopt;
   pool_.events_.attempt_begins(job_->request, server_);
   auto query = client->query(std::max(kMinTimeout, job_->deadline - now));
-  return writer_.begin(fd_.get(), query, now, std::min(job_->deadline, job_->arrive_by));
+  return writer_.begin(fd_.get(), query, now, std::min({job_->deadline, job_->arrive_by, job_->fresh_until}));
+}
+
+// Ends an attempt that can no longer be sent while the server's data is known to be recent enough, and
+// returns true. The connection is good: it becomes idle, so that the read or another one can use it at once.
+bool ServerConnection::end_if_not_fresh() {
+  if (pool_.loop_.now() <= job_->fresh_until) return false;
+  pool_.on_attempt_too_late(*job_, server_);
+  was_used_ = true;
+  finish(outcome_of_timeout(false), true);
+  return true;
+}
+
+void ServerConnection::limit_arrival(StatementWriter::Status status) {
+  bool is_written = status == StatementWriter::Status::kWritten;
+  auto limit = is_written ? job_->arrive_by : std::min(job_->arrive_by, job_->fresh_until);
+  if (limit < job_->deadline) arrival_timer_ = pool_.loop_.at(limit, [this] { on_arrival_limit(); });
 }
 
 void ServerConnection::on_writing_status(StatementWriter::Status status) {
@@ -155,10 +171,11 @@
   if (state_ == State::kBusy) on_writing_status(writer_.proceed(fd_.get(), pool_.loop_.now()));
 }
 
-// Ends the attempt unless its last byte has arrived.
+// Ends the attempt if its last byte was not sent, or had to arrive by now and has not.
 void ServerConnection::on_arrival_limit() {
   if (!is_written_) return withdraw();
-  if (net::unconfirmed_bytes(fd_.get()) > 0) finish(outcome_of_timeout(true), false);
+  bool has_to_have_arrived = pool_.loop_.now() >= job_->arrive_by;
+  if (has_to_have_arrived && net::unconfirmed_bytes(fd_.get()) > 0) finish(outcome_of_timeout(true), false);
 }
 
 // Ends an attempt whose last byte was not sent and would arrive too late: it cannot have run.
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -26,6 +26,9 @@
   Micros deadline{0};
   Micros start_by = Micros::max();   // latest time at which its writing may begin
   Micros arrive_by = Micros::max();  // latest time at which its last byte may arrive
+  // Latest time at which its last byte may be sent: until then the server's data is known to be recent
+  // enough.
+  Micros fresh_until = Micros::max();
 };
 
 // Owned by its pool and used in the pool's thread only.
@@ -53,6 +56,8 @@
   StatementWriter::Status write_probe();
   void on_writing_status(StatementWriter::Status status);
   void continue_writing();
+  bool end_if_not_fresh();
+  void limit_arrival(StatementWriter::Status status);
   void on_arrival_limit();
   void withdraw();
   void cancel_timers();
@@ -86,7 +91,7 @@
   net::Loop::TimerId arrival_timer_ = net::Loop::kNoTimer;
   net::Loop::TimerId idle_timer_ = net::Loop::kNoTimer;
   bool is_written_ = false;   // the job's last byte was sent, so it may have run
-  bool was_used_ = false;     // an earlier job was written on this connection
+  bool was_used_ = false;     // an earlier job was written on this connection, or could have been
   bool is_reusable_ = false;  // may serve another job after its answer has been passed on
   bool peer_closed_ = false;
   std::size_t parsed_ = 0;  // bytes of the input that were parsed
--- a/src/proxy/server_pool.cpp
+++ b/src/proxy/server_pool.cpp
@@ -11,10 +11,12 @@
 namespace database_proxy::proxy {
 namespace {
 
+using namespace std::chrono_literals;
 using routing::AttemptOutcome;
 
 // Keeps a faulty server from filling the log.
 constexpr Micros kMalformedLogInterval{1'000'000};
+constexpr Micros kLateAttemptLogInterval{1'000'000};
 // The time after which a probe is tried again when this machine lacked a descriptor or socket for it.
 constexpr Micros kProbeRetry{5'000};
 
@@ -65,6 +67,18 @@
                                          server, std::exchange(malformed_answers_, 0)));
 }
 
+void ServerPool::on_attempt_too_late(const ServerJob& job, const std::string& server) {
+  ++late_attempts_;
+  if (loop_.now() < late_attempt_logged_at_ + kLateAttemptLogInterval) return;
+  late_attempt_logged_at_ = loop_.now();
+  log_(net::Level::kInfo,
+       fmt::format(
+           "a read was not sent to server {}: its connection was ready {} ms after the decision, {} ms "
+           "after the known data became too old ({} decided again since the last such line)",
+           server, (loop_.now() - job.started_at) / 1ms, (loop_.now() - job.fresh_until) / 1ms,
+           std::exchange(late_attempts_, 0)));
+}
+
 void ServerPool::close_idle(Server& server) {
   auto idle = server.idle;
   for (auto* connection : idle) close(connection);
@@ -79,6 +93,7 @@
   job.deadline = loop_.now() + timeout;
   if (limits.start_within != Micros::max()) job.start_by = loop_.now() + limits.start_within;
   if (limits.arrive_within != Micros::max()) job.arrive_by = loop_.now() + limits.arrive_within;
+  if (limits.fresh_within != Micros::max()) job.fresh_until = loop_.now() + limits.fresh_within;
   run(server, job);
 }
 
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -43,6 +43,7 @@
   struct TimeLimits {
     Micros start_within = Micros::max();   // until its writing begins
     Micros arrive_within = Micros::max();  // until its last byte has arrived
+    Micros fresh_within = Micros::max();   // until its last byte is sent: the server's data is recent enough
   };
   // Starts an attempt, whose end is reported through ServerEvents.
   void start(RequestId request, int attempt, const std::string& server, Micros timeout,
@@ -86,6 +87,7 @@
   void close_idle(Server& server);
   void erase_if_unused(const std::string& name);
   void on_malformed_answer(const std::string& server);
+  void on_attempt_too_late(const ServerJob& job, const std::string& server);
 
   net::Loop& loop_;
   PoolLimits limits_;
@@ -100,6 +102,8 @@
   std::vector<std::unique_ptr<ServerConnection>> closed_connections_;
   std::uint64_t malformed_answers_ = 0;
   Micros malformed_answer_logged_at_{INT64_MIN / 2};
+  std::uint64_t late_attempts_ = 0;  // since the last log line about them
+  Micros late_attempt_logged_at_{INT64_MIN / 2};
 };
 
 }  // namespace database_proxy::proxy
--- a/src/request_router/admission.cpp
+++ b/src/request_router/admission.cpp
@@ -48,9 +48,11 @@
   return requests_served > kQueueSafetyFactor * (writes_ahead + 1);
 }
 
+// Whether a member has received the request, or would have if its data had still been recent enough when its
+// connection was ready: such a read may go on.
 bool has_reached_member(const PendingRequest& pending) {
   return std::any_of(pending.attempts.begin(), pending.attempts.end(),
-                     [](const Attempt& attempt) { return attempt.reached_member; });
+                     [](const Attempt& attempt) { return attempt.reached_member || attempt.was_too_late; });
 }
 
 // The time at which the request arrived. After a pause of this router it may be earlier than the time of
--- a/src/request_router/attempt_lifecycle.cpp
+++ b/src/request_router/attempt_lifecycle.cpp
@@ -84,7 +84,7 @@
   if (is_success) record_success(state, member, *pending, attempt, outcome);
 }
 
-void end_attempt(PendingRequest& pending, const Outcome& outcome) {
+void end_attempt(const RouterState& state, PendingRequest& pending, const Outcome& outcome) {
   bool is_known = outcome.attempt >= 0 && outcome.attempt < static_cast<int>(pending.attempts.size());
   if (!is_known || !pending.attempts[outcome.attempt].is_in_flight) return;
   Attempt& attempt = pending.attempts[outcome.attempt];
@@ -92,6 +92,7 @@
   attempt.has_failed = outcome.status == Status::kFailure;
   attempt.reached_member = outcome.status != Status::kUnreachable && outcome.status != Status::kNotStarted;
   attempt.may_have_run = may_have_run(outcome.status);
+  attempt.was_too_late = outcome.status == Status::kNotStarted && state.now > attempt.fresh_until;
   --pending.in_flight_count;
 }
 
@@ -107,7 +108,9 @@
 void send_attempt(RouterState& state, PendingRequest& pending, Member& member) {
   const Request& request = pending.request;
   int attempt = static_cast<int>(pending.attempts.size());
-  pending.attempts.push_back({.member = member.id, .sent_at = state.now});
+  Micros fresh_for = fresh_within(state, pending, member);
+  Micros fresh_until = fresh_for == Micros::max() ? fresh_for : state.now + fresh_for;
+  pending.attempts.push_back({.member = member.id, .sent_at = state.now, .fresh_until = fresh_until});
   ++pending.in_flight_count;
   state.watch(member);
   member.in_flight.push_back({request.id, attempt, request.request_class, state.now});
@@ -116,7 +119,7 @@
   // but would remove it from the attempts in flight that are counted here.
   Micros timeout = std::max(request.expires - state.now, kMinTimeout);
   state.actions.emplace_back(Send{request.id, member.id, timeout, start_within(state, pending, member),
-                                  reason_for(pending, member), arrive_within(state, pending)});
+                                  reason_for(pending, member), arrive_within(state, pending), fresh_for});
 }
 
 void on_outcome(RouterState& state, const Outcome& outcome) {
@@ -131,7 +134,7 @@
   PendingRequest* pending = request == state.pending.end() ? nullptr : &request->second;
   if (attempt) record_performance(state, member, *attempt, pending, outcome);
   if (!pending) return;
-  end_attempt(*pending, outcome);
+  end_attempt(state, *pending, outcome);
   if (outcome.closed || outcome.status == Status::kSuccess)
     state.pending.erase(request);
   else if (pending->in_flight_count == 0)
--- a/src/request_router/pending_request.h
+++ b/src/request_router/pending_request.h
@@ -15,10 +15,12 @@
   MemberId member = 0;
   Micros sent_at{0};
   bool is_in_flight = true;
-  bool may_have_run = false;   // known after it has ended
-  bool has_failed = false;     // the member answered with an error
-  bool is_cancelled = false;   // by this router, to try another member
-  bool reached_member = true;  // its member has received the complete request
+  bool may_have_run = false;           // known after it has ended
+  bool has_failed = false;             // the member answered with an error
+  bool is_cancelled = false;           // by this router, to try another member
+  bool reached_member = true;          // its member has received the complete request
+  Micros fresh_until = Micros::max();  // until when the data of its member was known to be recent enough
+  bool was_too_late = false;  // not sent, because `fresh_until` had passed when its connection was ready
 };
 
 // A request with the state of its decisions.
--- a/src/request_router/replication_lag.cpp
+++ b/src/request_router/replication_lag.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "primary_discovery.h"
 #include "router_state.h"
 
 namespace request_router::internal {
@@ -81,6 +82,13 @@
   return pending.required_position;
 }
 
+Micros fresh_within(const RouterState& state, const PendingRequest& pending, const Member& member) {
+  bool is_limited =
+      pending.request_class->level == ReadLevel::kBounded && state.settings.lag_check == LagCheck::kOff;
+  if (!is_limited || &member == find_primary(state, state.groups.at(member.group))) return Micros::max();
+  return member.replication.position - required_position(state, pending);
+}
+
 bool may_try_behind(const RouterState& state, const Member& member, Micros required) {
   if (state.settings.lag_check == LagCheck::kOff) return false;
   const MemberReplication& replication = member.replication;
--- a/src/request_router/replication_lag.h
+++ b/src/request_router/replication_lag.h
@@ -69,6 +69,11 @@
   return required == kNever || replication.position >= required;
 }
 
+// Returns the time from now within which the last byte of the read has to be sent to the member: until then,
+// the position that is known now is within the bound of the read. Micros::max(): the age of the data is not
+// limited, or the member itself checks it.
+Micros fresh_within(const RouterState& state, const PendingRequest& pending, const Member& member);
+
 // Returns whether a read that requires the position may be tried at a member that is not known to have
 // reached it. This is possible only where members check reads themselves: at worst the member declines the
 // read without executing it.
--- a/src/routing/decision_facade.cpp
+++ b/src/routing/decision_facade.cpp
@@ -335,6 +335,7 @@
     decision.timeout = send->timeout;
     decision.start_within = send->start_within;
     decision.arrive_within = send->arrive_within;
+    decision.fresh_within = send->fresh_within;
     decision.reason = describe(send->reason);
   } else if (auto* cancel = std::get_if<router::Cancel>(&action)) {
     decision.kind = Decision::Kind::kCancel;
--- a/src/routing/decision_facade.h
+++ b/src/routing/decision_facade.h
@@ -89,6 +89,7 @@
   Micros timeout{0};                     // kSend: the time limit of this attempt
   Micros start_within = Micros::max();   // kSend: the attempt is dropped if it cannot begin within this time
   Micros arrive_within = Micros::max();  // kSend: the attempt is given up if it has not arrived within this
+  Micros fresh_within = Micros::max();   // kSend: the attempt is dropped if not sent completely within this
   Micros retry_after{0};                 // kReject; 0: no Retry-After
   std::string_view reason = "";          // kSend, kReject, kFail: text for the log; a string literal
   // For a decision made in another thread: the time of the decision, the version of the endpoint list that it
--- a/src/workers/remote_decider.cpp
+++ b/src/workers/remote_decider.cpp
@@ -56,7 +56,7 @@
     if (decision->kind == routing::Decision::Kind::kSend) {
       auto age = now - decision->decided_at;
       decision->timeout -= age;
-      for (auto* limit : {&decision->start_within, &decision->arrive_within})
+      for (auto* limit : {&decision->start_within, &decision->arrive_within, &decision->fresh_within})
         if (*limit != Micros::max()) *limit -= age;
     }
     result.decisions.push_back(std::move(*decision));
--- a/tests/proxy/late_arrival_test.cpp
+++ b/tests/proxy/late_arrival_test.cpp
@@ -160,4 +160,68 @@
   CHECK(fixture.primary.complete == 0);
 }
 
+namespace {
+
+// A proxy whose data servers answer reads whatever the age of their data. The replica's data stays at the
+// position of the time of the construction, which the proxy knows, and no connection to it is idle.
+struct LaggingReplicaFixture {
+  explicit LaggingReplicaFixture(std::chrono::milliseconds bound)
+      : proxy(200, "", false, [&](app::Config& config) {
+          config.settings.lag_check = request_router::LagCheck::kOff;
+          config.settings.cancel = false;  // nothing but the age of data ends the attempt
+          for (auto& c : config.settings.classes) c.bound = bound;
+          config.pool.idle = 20ms;
+        }) {
+    Client client(proxy.port);
+    for (int i = 0; i < 20; ++i) client.query(read_sql("warm" + std::to_string(i)));
+    proxy.replica.position = unix_ms();
+    known_since = Clock::now();
+    int number = 0;
+    REQUIRE(eventually([&] {
+      auto served = proxy.replica.count();
+      client.query(read_sql("known" + std::to_string(number++)));
+      return proxy.replica.count() > served;
+    }));
+    REQUIRE(eventually([&] { return proxy.replica.open_connections == 0; }));
+  }
+
+  ProxyFixture proxy;
+  Clock::time_point known_since;
+};
+
+}  // namespace
+
+// Guards against a bounded read that is decided in time and sent on a connection that comes up when the known
+// data of its server is too old. Such a read is decided again and served elsewhere.
+TEST_CASE("late arrival: a bounded read is not sent on a connection that comes up after its bound") {
+  auto bound = GENERATE(300ms, 900ms);
+  LaggingReplicaFixture fixture(bound);
+  auto& replica = fixture.proxy.replica;
+  auto reads_before = replica.count();
+  replica.hold_greeting = true;
+  std::this_thread::sleep_until(fixture.known_since + bound - 100ms);
+  Client client(fixture.proxy.port);
+  client.send(pg::simple_query(read_sql("late")));
+  std::this_thread::sleep_until(fixture.known_since + bound + kSocketSlack + 20ms);
+  CHECK(replica.count() == reads_before);
+  replica.hold_greeting = false;
+  CHECK(client.answer().row);
+  CHECK(replica.count() == reads_before);
+}
+
+// Guards against a limit that turns away reads whose data is still recent enough when the connection comes
+// up.
+TEST_CASE("late arrival: a bounded read is sent on a connection that comes up late within its bound") {
+  LaggingReplicaFixture fixture(2000ms);
+  auto& replica = fixture.proxy.replica;
+  auto reads_before = replica.count();
+  replica.hold_greeting = true;
+  Client client(fixture.proxy.port);
+  client.send(pg::simple_query(read_sql("in-time")));
+  std::this_thread::sleep_for(100ms);
+  replica.hold_greeting = false;
+  CHECK(client.answer().row);
+  CHECK(replica.count() == reads_before + 1);
+}
+
 }  // namespace database_proxy::test
--- a/tests/proxy/rig.h
+++ b/tests/proxy/rig.h
@@ -179,7 +179,8 @@
 
   std::function<Reply(const std::string&)> reply = [](const std::string&) { return Reply{}; };
   std::atomic<int> connections{0}, open_connections{0}, in_flight{0}, max_in_flight{0}, probes{0};
-  std::atomic<int> unanswered{0};          // requests left without an answer whose connections are still open
+  std::atomic<std::int64_t> position{0};  // commit position in probes and answers, in ms; 0: the current time
+  std::atomic<int> unanswered{0};         // requests left without an answer whose connections are still open
   std::atomic<bool> hold_greeting{false};  // while true, new connections are accepted but get no greeting
   std::atomic<int> greetings_sent{0}, answers_sent{0};  // numbers of greetings and answers written
   std::atomic<bool> rejects_connections{false};         // at its connection limit: rejects each new one
@@ -215,7 +216,7 @@
       body.pop_back();
       if (body == "SHOW usage") {
         ++probes;
-        peer.send(row("x0=" + std::to_string(unix_ms() / 1000.0) + ",x1=" + (primary_ ? "1" : "0")) +
+        peer.send(row("x0=" + std::to_string(current_position() / 1000.0) + ",x1=" + (primary_ ? "1" : "0")) +
                   pg::ready_for_query());
         continue;
       }
@@ -252,12 +253,16 @@
       std::string trailing = r.kind == Reply::kTrailingBytes ? std::exchange(r.text, "value") : "";
       std::string answer = r.kind != Reply::kError ? row(r.text) : pg::error_response("ERROR", r.text, "no");
       answer += parameter("server_role", primary_ ? "writer" : "reader") +
-                parameter("commit_clock", std::to_string(r.position ? r.position : unix_ms())) +
+                parameter("commit_clock", std::to_string(r.position ? r.position : current_position())) +
                 pg::ready_for_query() + trailing;
       send_in_pieces(peer, answer, r.pieces, r.pieces, r.over);
       ++answers_sent;
     }
   }
+  std::int64_t current_position() const {
+    auto fixed = position.load();
+    return fixed != 0 ? fixed : unix_ms();
+  }
   // Sends the first `count` of `pieces` equal parts; all of them would take the time `over`.
   static void send_in_pieces(Peer& peer, const std::string& bytes, int pieces, int count,
                              std::chrono::milliseconds over) {
@@ -297,7 +302,10 @@
   std::atomic<bool> unresponsive{false};  // calls get no answer
   // Stops answering on the connections that are open now, for good; new connections are served.
   void stop_answering_open_connections() { ++epoch_; }
-  std::atomic<bool> trickle{false};  // answers are sent at one byte each 20 ms and never end
+  std::atomic<int> answer_delay_ms{0};  // from a call, or the end of its wait, to its answer
+  std::atomic<int> write_over_ms{0};    // answers are written evenly over this time
+  std::atomic<int> answers_to_stop{0};  // number of next answers that stop half way, with the connection open
+  std::atomic<bool> trickle{false};     // answers are sent at one byte each 20 ms and never end
 
  private:
   void serve(Peer& peer) {
@@ -334,11 +342,27 @@
       std::string body = eventually(newer, 200ms) ? list()
                                                   : "{\"generation\":" + std::to_string(after) +
                                                         ",\"reset\":false,\"instances\":[]}";
+      std::this_thread::sleep_for(std::chrono::milliseconds(answer_delay_ms));
+      if (answer_delay_ms > 0 && after < 0) body = list();
       if (epoch != epoch_) continue;
-      if (!peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
-        return;
+      auto answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+      if (!write(peer, answer)) return;
+    }
+  }
+  bool write(Peer& peer, const std::string& answer) {
+    constexpr std::size_t kPieces = 30;
+    bool is_stopped = answers_to_stop > 0 && answers_to_stop-- > 0;
+    if (write_over_ms == 0 && !is_stopped) return peer.send(answer);
+    for (std::size_t i = 0; i < (is_stopped ? kPieces / 2 : kPieces); ++i) {
+      auto begin = answer.size() * i / kPieces, end = answer.size() * (i + 1) / kPieces;
+      if (!peer.send(std::string_view(answer).substr(begin, end - begin))) return false;
+      std::this_thread::sleep_for(std::chrono::milliseconds(write_over_ms) / kPieces);
+    }
+    while (is_stopped && peer.receive()) {
     }
+    return !is_stopped;
   }
+
   std::atomic<int> epoch_{0};
   std::mutex mutex_;
   std::string instances_;
--- a/tests/request_router/replica_selection_test.cpp
+++ b/tests/request_router/replica_selection_test.cpp
@@ -22,6 +22,52 @@
   EXPECT_EQ(sends[0].member, 3U);
 }
 
+// Guards against bounded reads that are decided in time and sent when the known data is too old.
+TEST_F(GroupOfThree, ABoundedReadHasToBeSentWhileTheKnownPositionIsWithinItsBound) {
+  auto sends = actions_of<Send>(router.handle(10s + 50ms, {make_request(1, kBounded, 12s)}));
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends[0].fresh_within, 9989ms + 300ms - 10050ms) << "positions are rounded by a millisecond";
+  for (auto unlimited : {kAny, kSession, kWrite}) {
+    sends = actions_of<Send>(router.handle(10s + 50ms, {make_request(2 + unlimited, unlimited, 12s)}));
+    ASSERT_EQ(sends.size(), 1U);
+    EXPECT_EQ(sends[0].fresh_within, Micros::max());
+  }
+}
+
+TEST_F(GroupOfThreeWithLagCheck, MembersThatCheckTheAgeOfTheirDataNeedNoLimitOnIt) {
+  auto sends = actions_of<Send>(router.handle(10s + 50ms, {make_request(1, kBounded, 12s)}));
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends[0].fresh_within, Micros::max());
+}
+
+// Guards against reads that are given up, although they have time, because a connection came up late.
+TEST(BoundedReads, AReadThatWasTooLateIsDecidedAgainAndItsMemberIsNotAvoided) {
+  auto router = router_of_three();
+  auto sends = actions_of<Send>(router.handle(10s + 50ms, {make_request(1, kBounded, 10s + 550ms)}));
+  ASSERT_EQ(sends.size(), 1U);
+  auto late = make_outcome(sends[0], 0, Status::kNotStarted);
+  // More than half of its time is over: a read that never came this far would be rejected.
+  auto now = 10s + 310ms;
+  auto again = actions_of<Send>(router.handle(now, {late, make_probe_result(sends[0].member, now, false)}));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].member, sends[0].member) << "the late connection is no failure of its member";
+  EXPECT_EQ(again[0].fresh_within, 299ms);
+}
+
+// Guards against a loop of connections that are each ready too late.
+TEST(BoundedReads, AReadThatIsTooLateEachTimeEndsAtTheLimitOfAttempts) {
+  auto settings = default_settings();
+  settings.classes[kBounded].latency_objective = settings.classes[kBounded].deadline = 10s;
+  auto router = router_of_three(settings);
+  auto sends = actions_of<Send>(router.handle(10s + 50ms, {make_request(1, kBounded, 20s)}));
+  int attempts = 0;
+  for (auto now = 10s + 400ms; !sends.empty(); now += 400ms) {
+    auto late = make_outcome(sends[0], attempts++, Status::kNotStarted);
+    sends = actions_of<Send>(router.handle(now, {late, make_probe_result(2, now - 10ms, false)}));
+  }
+  EXPECT_EQ(attempts, settings.max_attempts);
+}
+
 TEST_F(GroupOfThree, AnOldPositionNeverReplacesANewerOne) {
   router.handle(11s, {make_probe_result(2, 10950ms, false), make_probe_result(2, 9s, false)});
   auto sends = actions_of<Send>(router.handle(11s + 5ms, {make_request(1, kBounded, 13s)}));
