One limit for lists, from the largest fleet; a response is read once, as it comes

Cause: guessed limits, 1 MiB of body and 2 MiB buffered. Evidence: 4 spaces a level hold, 8 do not; the log says "not valid HTTP" and neither a time-out nor bad JSON. Beside it, a chunked response was parsed from its beginning with each piece that came.

Change: endpoint_list_limits.h has the limit, 3,200 servers of 2 KiB (6.25 MiB). HttpResponseReader takes each byte once and keeps no input beside the body. A list over the limit is logged with its size and the limit, leaves the last one in effect, and is asked for again after 2 s.

--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "discovery/endpoint_list_codec.h"
+#include "discovery/endpoint_list_limits.h"
 #include "discovery/http.h"
 #include "discovery/polling_schedule.h"
 #include "net/buffer.h"
@@ -25,9 +26,8 @@
 
 using namespace std::chrono_literals;
 
-// Maximum size in bytes of a response that is buffered until it is complete: parse_response() rejects heads
-// over 16 KiB and bodies over 1 MiB, and the chunked encoding adds to that.
-constexpr std::size_t kMaxBufferedResponse = 2 * 1024 * 1024;
+// Maximum number of bytes that are buffered until the reader of the response can use them: its longest line.
+constexpr std::size_t kMaxBufferedInput = 64 * 1024;
 
 // A watch counts as uninterrupted if the next call follows the last answer within this time; otherwise the
 // changes in the next answer may be old.
@@ -59,6 +59,7 @@
   fd_.reset();
   in_ = {};
   out_ = {};
+  response_ = {};
   connected_ = false;
 }
 
@@ -100,27 +101,40 @@
   }
   if ((events & EPOLLOUT) && !out_.flush(fd_.get())) return on_failure("the connection broke");
   if (!(events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
-  auto end = in_.fill(fd_.get(), kMaxBufferedResponse);
+  auto end = net::IoResult::kMore;
+  while (connected_ && end == net::IoResult::kMore) {
+    end = in_.read_once(fd_.get(), kMaxBufferedInput);
+    read_responses(end == net::IoResult::kClosed);
+  }
+  if (!connected_) return;
   if (end == net::IoResult::kFull) return on_failure("the response is too long");
-  read_responses(end == net::IoResult::kClosed);
   // A reset is not a regular end: a body without a Content-Length is then incomplete.
-  if (end == net::IoResult::kReset && fd_) on_failure("the connection was reset");
+  if (end == net::IoResult::kReset) on_failure("the connection was reset");
 }
 
 void DiscoveryWatch::read_responses(bool ended) {
-  while (fd_ && !in_.view().empty()) {
-    HttpResponse response;
-    auto parse = parse_response(in_.view(), ended, &response);
+  while (connected_ && (response_.has_begun() || !in_.view().empty())) {
+    std::size_t used = 0;
+    auto parse = response_.read(in_.view(), ended, &used);
+    in_.consume(used);
     if (parse == HttpParse::kMore) break;
-    if (parse == HttpParse::kBad) return on_failure("the response is not valid HTTP");
-    in_.consume(response.size);
+    if (parse == HttpParse::kBad) return on_unusable_response();
+    auto response = std::move(std::exchange(response_, {}).response());
     if (response.status < kHttpOk) continue;  // an interim (1xx) response
     if (response.status != kHttpOk) return on_error_status(response.status);
     if (!apply_update(response.body)) return;
     if (!response.keep_alive) return connect();
     send_request();
   }
-  if (ended && fd_) on_failure("the connection ended");
+  if (ended && connected_) on_failure("the connection ended");
+}
+
+void DiscoveryWatch::on_unusable_response() {
+  auto size = response_.excessive_size();
+  if (size == 0) return on_failure("the response is not valid HTTP");
+  on_failure(fmt::format("the endpoint list is too large: {} bytes or more, and the limit is {} bytes", size,
+                         kMaxListBytes),
+             Failure::kTooLarge);
 }
 
 // An overloaded service still knows this watch's generation, and the full list is the most expensive request
@@ -157,8 +171,19 @@
   if (!failing_) log_(net::Level::kWarning, fmt::format("request to discovery failed: {}", reason));
   failing_ = true;
   disconnect();
-  connect_after(failure == Failure::kRejected ? schedule_.delay_after_rejected_call()
-                                              : schedule_.delay_after_broken_call());
+  connect_after(delay_after(failure));
+}
+
+net::Micros DiscoveryWatch::delay_after(Failure failure) {
+  switch (failure) {
+    case Failure::kBroken:
+      return schedule_.delay_after_broken_call();
+    case Failure::kRejected:
+      return schedule_.delay_after_rejected_call();
+    case Failure::kTooLarge:
+      return PollingSchedule::kDelayAfterTooLargeList;
+  }
+  return PollingSchedule::kDelayAfterTooLargeList;
 }
 
 }  // namespace database_proxy::discovery
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "discovery/endpoint_list_codec.h"
+#include "discovery/http.h"
 #include "discovery/polling_schedule.h"
 #include "net/buffer.h"
 #include "net/log.h"
@@ -39,14 +40,17 @@
   void on_ready(std::uint32_t events) override;
 
  private:
-  // kRejected: the service answered that it is overloaded or unavailable. kBroken: any other failure.
-  enum class Failure { kBroken, kRejected };
+  // kRejected: the service answered that it is overloaded or unavailable. kTooLarge: its list is larger than
+  // this process reads. kBroken: any other failure.
+  enum class Failure { kBroken, kRejected, kTooLarge };
 
   void connect();
   void connect_after(net::Micros delay);
   void disconnect();
   void send_request();
   void read_responses(bool ended);
+  void on_unusable_response();
+  net::Micros delay_after(Failure failure);
   void on_error_status(int status);
   bool apply_update(const std::string& body);
   void on_failure(const std::string& reason, Failure failure = Failure::kBroken);
@@ -59,6 +63,7 @@
   net::Log log_;
   net::Fd fd_;
   net::InBuffer in_;
+  HttpResponseReader response_;
   net::OutBuffer out_;
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;  // the timeout of the call, or the start of the next one
   PollingSchedule schedule_;
--- a/src/discovery/http.cpp
+++ b/src/discovery/http.cpp
@@ -6,6 +6,9 @@
 #include <optional>
 #include <string_view>
 #include <system_error>
+#include <utility>
+
+#include "discovery/endpoint_list_limits.h"
 
 namespace database_proxy::discovery {
 namespace {
@@ -17,8 +20,10 @@
 constexpr std::size_t kStatusLineStatus = 9;  // position of the status code
 constexpr std::size_t kStatusLineMinSize = 12;
 
-// Limits in bytes. A body of the maximum size lists several thousand servers.
-constexpr std::size_t kMaxHeadSize = 16 * 1024, kMaxBodySize = 1024 * 1024, kMaxChunkLineSize = 64;
+// Limits in bytes.
+constexpr std::size_t kMaxHeadSize = 16 * 1024, kMaxChunkLineSize = 64;
+// Beyond this a number is no size that a service would announce.
+constexpr std::size_t kMaxSize = 10'000'000'000;
 
 constexpr std::size_t kNoContent = 204, kNotModified = 304;  // statuses without a body
 
@@ -44,12 +49,12 @@
   return text;
 }
 
-// Parses a number of at most kMaxBodySize; returns nullopt if `text` is not one.
+// Parses a number of at most kMaxSize; returns nullopt if `text` is not one.
 std::optional<std::size_t> parse_size(std::string_view text, int base) {
   std::size_t value = 0;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
   bool is_number = !text.empty() && error == std::errc() && end == text.data() + text.size();
-  if (!is_number || value > kMaxBodySize) return std::nullopt;
+  if (!is_number || value > kMaxSize) return std::nullopt;
   return value;
 }
 
@@ -95,85 +100,134 @@
   return true;
 }
 
-// Appends the chunk at `*at` to the body and moves `*at` past it. Sets `*is_last` if it is the empty chunk
-// that ends the body.
-HttpParse parse_chunk(std::string_view input, std::size_t* at, bool* is_last, HttpResponse* response) {
-  auto line_end = input.find(kLineEnd, *at);
-  if (line_end == std::string_view::npos)
-    return input.size() - *at > kMaxChunkLineSize ? HttpParse::kBad : HttpParse::kMore;
-  auto line = input.substr(*at, line_end - *at);
-  auto size = parse_size(trim(line.substr(0, line.find(';'))), 16);
-  if (!size || response->body.size() + *size > kMaxBodySize) return HttpParse::kBad;
-  *at = line_end + kLineEnd.size();
-  *is_last = *size == 0;
-  if (*is_last) return HttpParse::kOk;
-  if (input.size() < *at + *size + kLineEnd.size()) return HttpParse::kMore;
-  if (input.substr(*at + *size, kLineEnd.size()) != kLineEnd) return HttpParse::kBad;
-  response->body.append(input.substr(*at, *size));
-  *at += *size + kLineEnd.size();
+// Returns whether an incomplete head may still become a valid one.
+HttpParse check_partial_head(std::string_view input, bool ended) {
+  if (input.size() > kMaxHeadSize || ended) return HttpParse::kBad;
+  bool may_be_http = kVersionPrefix.starts_with(input.substr(0, kVersionPrefix.size()));
+  return may_be_http ? HttpParse::kMore : HttpParse::kBad;
+}
+
+}  // namespace
+
+HttpParse HttpResponseReader::read(std::string_view input, bool ended, std::size_t* used) {
+  *used = 0;
+  while (!is_complete_) {
+    std::size_t stage_used = 0;
+    auto parse = read_stage(input.substr(*used), ended, &stage_used);
+    *used += stage_used;
+    response_.size += stage_used;
+    if (parse != HttpParse::kOk) return parse;
+  }
   return HttpParse::kOk;
 }
 
-// Moves `*at` past the trailer fields and the empty line that ends them.
-HttpParse skip_trailers(std::string_view input, std::size_t* at) {
-  while (true) {
-    auto line_end = input.find(kLineEnd, *at);
-    if (line_end == std::string_view::npos)
-      return input.size() - *at > kMaxHeadSize ? HttpParse::kBad : HttpParse::kMore;
-    bool is_empty = line_end == *at;
-    *at = line_end + kLineEnd.size();
-    if (is_empty) return HttpParse::kOk;
+HttpParse HttpResponseReader::read_stage(std::string_view input, bool ended, std::size_t* used) {
+  switch (stage_) {
+    case Stage::kHead:
+      return read_head(input, ended, used);
+    case Stage::kSizedBody:
+    case Stage::kChunk:
+      return read_body(input, used);
+    case Stage::kBodyUntilEnd:
+      return read_body_until_end(input, ended, used);
+    case Stage::kChunkSize:
+      return read_chunk_size(input, used);
+    case Stage::kChunkEnd:
+      return read_chunk_end(input, used);
+    case Stage::kTrailers:
+      return read_trailer(input, used);
   }
+  return HttpParse::kBad;
 }
 
-HttpParse parse_chunked_body(std::string_view input, std::size_t at, HttpResponse* response) {
-  bool is_last = false;
-  while (!is_last) {
-    auto parse = parse_chunk(input, &at, &is_last, response);
-    if (parse != HttpParse::kOk) return parse;
+bool HttpResponseReader::is_body_too_long(std::size_t size) {
+  if (size <= kMaxListBytes) return false;
+  excessive_size_ = size;
+  return true;
+}
+
+HttpParse HttpResponseReader::read_head(std::string_view input, bool ended, std::size_t* used) {
+  auto head_end = input.find(kHeadEnd);
+  if (head_end == std::string_view::npos) return check_partial_head(input, ended);
+  Head head;
+  if (!parse_head(input.substr(0, head_end), &head, &response_)) return HttpParse::kBad;
+  *used = head_end + kHeadEnd.size();
+  bool has_no_body = head.status < 200 || head.status == kNoContent || head.status == kNotModified;
+  if (head.chunked) {
+    stage_ = Stage::kChunkSize;
+  } else if (has_no_body || head.content_length) {
+    stage_ = Stage::kSizedBody;
+    missing_ = has_no_body ? 0 : *head.content_length;
+    if (is_body_too_long(missing_)) return HttpParse::kBad;
+    response_.body.reserve(missing_);
+  } else {
+    stage_ = Stage::kBodyUntilEnd;
+    response_.keep_alive = false;
   }
-  auto parse = skip_trailers(input, &at);
-  if (parse == HttpParse::kOk) response->size = at;
-  return parse;
+  return HttpParse::kOk;
 }
 
-HttpParse parse_plain_body(std::string_view input, std::size_t at, std::size_t length,
-                           HttpResponse* response) {
-  if (input.size() - at < length) return HttpParse::kMore;
-  response->body = input.substr(at, length);
-  response->size = at + length;
+// Reads the rest of a body with a Content-Length, or of a chunk.
+HttpParse HttpResponseReader::read_body(std::string_view input, std::size_t* used) {
+  *used = std::min(missing_, input.size());
+  response_.body.append(input.substr(0, *used));
+  missing_ -= *used;
+  if (missing_ > 0) return HttpParse::kMore;
+  if (stage_ == Stage::kSizedBody)
+    is_complete_ = true;
+  else
+    stage_ = Stage::kChunkEnd;
   return HttpParse::kOk;
 }
 
-// Parses a body without a Content-Length, which ends with the connection.
-HttpParse parse_body_until_end(std::string_view input, std::size_t at, bool ended, HttpResponse* response) {
-  response->keep_alive = false;
-  if (input.size() - at > kMaxBodySize) return HttpParse::kBad;
-  if (!ended) return HttpParse::kMore;
-  return parse_plain_body(input, at, input.size() - at, response);
+// Reads a body without a Content-Length, which ends with the connection.
+HttpParse HttpResponseReader::read_body_until_end(std::string_view input, bool ended, std::size_t* used) {
+  if (is_body_too_long(response_.body.size() + input.size())) return HttpParse::kBad;
+  response_.body.append(input);
+  *used = input.size();
+  is_complete_ = ended;
+  return ended ? HttpParse::kOk : HttpParse::kMore;
 }
 
-// Returns whether an incomplete head may still become a valid one.
-HttpParse check_partial_head(std::string_view input, bool ended) {
-  if (input.size() > kMaxHeadSize || ended) return HttpParse::kBad;
-  bool may_be_http = kVersionPrefix.starts_with(input.substr(0, kVersionPrefix.size()));
-  return may_be_http ? HttpParse::kMore : HttpParse::kBad;
+HttpParse HttpResponseReader::read_chunk_size(std::string_view input, std::size_t* used) {
+  auto line_end = input.find(kLineEnd);
+  if (line_end == std::string_view::npos)
+    return input.size() > kMaxChunkLineSize ? HttpParse::kBad : HttpParse::kMore;
+  auto line = input.substr(0, line_end);
+  auto size = parse_size(trim(line.substr(0, line.find(';'))), 16);
+  if (!size || is_body_too_long(response_.body.size() + *size)) return HttpParse::kBad;
+  *used = line_end + kLineEnd.size();
+  missing_ = *size;
+  stage_ = *size == 0 ? Stage::kTrailers : Stage::kChunk;
+  return HttpParse::kOk;
 }
 
-}  // namespace
+HttpParse HttpResponseReader::read_chunk_end(std::string_view input, std::size_t* used) {
+  if (input.size() < kLineEnd.size()) return kLineEnd.starts_with(input) ? HttpParse::kMore : HttpParse::kBad;
+  if (!input.starts_with(kLineEnd)) return HttpParse::kBad;
+  *used = kLineEnd.size();
+  stage_ = Stage::kChunkSize;
+  return HttpParse::kOk;
+}
+
+// Reads one line of the trailer fields; the empty one ends the response.
+HttpParse HttpResponseReader::read_trailer(std::string_view input, std::size_t* used) {
+  auto line_end = input.find(kLineEnd);
+  auto size = line_end == std::string_view::npos ? input.size() : line_end + kLineEnd.size();
+  if (trailer_size_ + size > kMaxHeadSize) return HttpParse::kBad;
+  if (line_end == std::string_view::npos) return HttpParse::kMore;
+  trailer_size_ += size;
+  is_complete_ = line_end == 0;
+  *used = size;
+  return HttpParse::kOk;
+}
 
 HttpParse parse_response(std::string_view input, bool ended, HttpResponse* response) {
-  *response = {};
-  auto head_end = input.find(kHeadEnd);
-  if (head_end == std::string_view::npos) return check_partial_head(input, ended);
-  Head head;
-  if (!parse_head(input.substr(0, head_end), &head, response)) return HttpParse::kBad;
-  auto body_at = head_end + kHeadEnd.size();
-  if (head.chunked) return parse_chunked_body(input, body_at, response);
-  bool has_no_body = head.status < 200 || head.status == kNoContent || head.status == kNotModified;
-  if (has_no_body) return parse_plain_body(input, body_at, 0, response);
-  if (!head.content_length) return parse_body_until_end(input, body_at, ended, response);
-  return parse_plain_body(input, body_at, *head.content_length, response);
+  HttpResponseReader reader;
+  std::size_t used = 0;
+  auto parse = reader.read(input, ended, &used);
+  *response = std::move(reader.response());
+  return parse;
 }
 
 }  // namespace database_proxy::discovery
--- a/src/discovery/polling_schedule.h
+++ b/src/discovery/polling_schedule.h
@@ -25,6 +25,8 @@
   // The longest time that a watch lets the service wait for a change before it answers. It bounds how long a
   // connection that was lost without notice goes undetected.
   static constexpr Micros kWatchWait{2'000'000};
+  // The delay after a list that is too large: the next one hardly differs, and each costs its transmission.
+  static constexpr Micros kDelayAfterTooLargeList{2'000'000};
 
   // `proxies`: number of proxies that share the service. `calls_are_costly`: each call costs the service work
   // (the list has to be polled), so calls wait there in a queue, and first calls are spaced out in case all
--- a/tests/proxy/parsers_test.cpp
+++ b/tests/proxy/parsers_test.cpp
@@ -1,4 +1,6 @@
 // Tables of valid and invalid input for each parser of a peer's bytes.
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
@@ -7,6 +9,7 @@
 
 #include "app/config.h"
 #include "discovery/endpoint_list_codec.h"
+#include "discovery/endpoint_list_limits.h"
 #include "discovery/http.h"
 #include "discovery/polling_schedule.h"
 #include "net/socket.h"
@@ -157,6 +160,56 @@
   CHECK_FALSE(pg::parse_statement(text).problem.empty());
 }
 
+// Guards against a list that is refused, or parsed from its beginning again and again, because of its form or
+// its size: an indented list of the largest fleet takes over a megabyte.
+TEST_CASE("HTTP responses of the largest list, in each form and in pieces of any size") {
+  using discovery::HttpParse;
+  auto entry_bytes = GENERATE(std::size_t{160}, std::size_t{1200}, discovery::kMaxEntryBytes);
+  std::string body(discovery::kMaxListedServers * entry_bytes, ' ');
+  auto form = GENERATE(values<std::string>({"Content-Length", "chunked", "until the end"}));
+  auto piece = GENERATE(std::size_t{2000}, std::size_t{16384}, std::size_t{1 << 24});
+  std::string message = "HTTP/1.1 200 OK\r\n";
+  if (form == "Content-Length")
+    message += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  if (form == "until the end") message += "\r\n" + body;
+  if (form == "chunked") {
+    message += "Transfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t at = 0; at < body.size(); at += 500)
+      message += "1f4\r\n" + body.substr(at, 500) + "\r\n";
+    message += "0\r\n\r\n";
+    body.resize((body.size() + 499) / 500 * 500, ' ');
+  }
+  if (form == "chunked" && body.size() > discovery::kMaxListBytes) return;
+  CAPTURE(entry_bytes, form, piece);
+  discovery::HttpResponseReader reader;
+  std::string unread;
+  auto parse = HttpParse::kMore;
+  for (std::size_t at = 0; at < message.size(); at += piece) {
+    REQUIRE(parse == HttpParse::kMore);
+    unread += message.substr(at, piece);
+    std::size_t used = 0;
+    parse = reader.read(unread, at + piece >= message.size(), &used);
+    unread.erase(0, used);
+  }
+  REQUIRE(parse == HttpParse::kOk);
+  CHECK(reader.response().body == body);
+  CHECK(reader.response().size == message.size());
+  CHECK(reader.excessive_size() == 0);
+}
+
+TEST_CASE("HTTP responses: a body over the limit is refused with its size") {
+  using discovery::HttpParse;
+  auto size = discovery::kMaxListBytes + 1;
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  auto message = GENERATE_COPY(
+      head + "Content-Length: " + std::to_string(size) + "\r\n\r\n", head + "\r\n" + std::string(size, ' '),
+      head + "Transfer-Encoding: chunked\r\n\r\n" + fmt::format("{:x}", size) + "\r\n");
+  discovery::HttpResponseReader reader;
+  std::size_t used = 0;
+  CHECK(reader.read(message, false, &used) == HttpParse::kBad);
+  CHECK(reader.excessive_size() == size);
+}
+
 TEST_CASE("HTTP responses") {
   using discovery::HttpParse;
   struct Case {
