--- a/tests/proxy/parsers_test.cpp
+++ b/tests/proxy/parsers_test.cpp
@@ -413,6 +413,41 @@
   }
 }
 
+TEST_CASE("A service that is slow to answer is asked to wait less, so that its answers are not overdue") {
+  using namespace std::chrono_literals;
+  using database_proxy::discovery::PollingSchedule;
+  PollingSchedule schedule;
+  CHECK(schedule.watch_wait() == PollingSchedule::kWatchWait);
+  for (auto delay : {100ms, 900ms, 1500ms, 2400ms}) {
+    schedule.on_answered(schedule.watch_wait() + delay, schedule.watch_wait());
+    CHECK(schedule.watch_wait() + delay < schedule.overdue_after(false, 0ms));
+    CHECK(schedule.watch_wait() >= 0ms);
+  }
+  auto slow_wait = schedule.watch_wait();
+  schedule.on_answered(slow_wait / 2, slow_wait);  // a change ended the wait: the delay is not known anew
+  CHECK(schedule.watch_wait() == slow_wait);
+  schedule.on_answered(slow_wait + 10ms, slow_wait);
+  CHECK(schedule.watch_wait() == PollingSchedule::kWatchWait);
+}
+
+// Guards against one limit for answers that keep coming and for those that have stopped.
+TEST_CASE("An answer that keeps coming gets more time before the next call, within a limit") {
+  using namespace std::chrono_literals;
+  using database_proxy::discovery::PollingSchedule;
+  PollingSchedule schedule;
+  for (bool is_full_list : {false, true}) {
+    auto usual = schedule.overdue_after(is_full_list, 0ms);
+    CHECK(schedule.overdue_after(is_full_list, 1ms) == std::max<PollingSchedule::Micros>(usual, 1001ms));
+    CHECK(schedule.overdue_after(is_full_list, usual - 100ms) == usual + 900ms);
+    CHECK(schedule.overdue_after(is_full_list, usual + 5s) == usual + 1s);
+  }
+  auto first = schedule.list_timeout();
+  schedule.on_overdue();
+  CHECK(schedule.list_timeout() > first);
+  schedule.on_answered(0ms, 0ms);
+  CHECK(schedule.list_timeout() == first);
+}
+
 TEST_CASE("A single proxy calls at once, and retries soon") {
   using namespace std::chrono_literals;
   database_proxy::discovery::PollingSchedule single_proxy(1, false, 7), fleet_of_three(3, true, 7);
