The limit of attempts is checked in one place; tests of discovery share their steps

The comparison of a request's attempts with the limit of the settings stood in four places, and a new address of discovery and the wait for its use in three tests: each stands once now (retry_policy: has_attempts_left; tests/proxy/discovery_steps.h).

--- a/src/request_router/primary_discovery.cpp
+++ b/src/request_router/primary_discovery.cpp
@@ -76,8 +76,7 @@
 Member* select_primary_trial(RouterState& state, const Group& group, const PendingRequest& pending) {
   bool is_read = pending.request_class->level == ReadLevel::kFresh;
   if (is_read && state.settings.lag_check == LagCheck::kOff) return nullptr;
-  if (static_cast<int>(pending.attempts.size()) >= state.settings.max_attempts - kReservedAttempts)
-    return nullptr;
+  if (!has_attempts_left(state, pending, kReservedAttempts)) return nullptr;
   if (group.members.empty()) return nullptr;  // all members were removed from the list and dropped
   Micros next_trial_at = next_replica_trial(state, group, pending);
   Member* best = nullptr;
--- a/src/request_router/replica_selection.cpp
+++ b/src/request_router/replica_selection.cpp
@@ -129,8 +129,7 @@
   }
 
   bool may_try_behind_members() const {
-    return required_ != kNever &&
-           static_cast<int>(pending_.attempts.size()) < state_.settings.max_attempts - kReservedAttempts;
+    return required_ != kNever && has_attempts_left(state_, pending_, kReservedAttempts);
   }
 
   void collect_behind() {
--- a/src/request_router/retry_policy.cpp
+++ b/src/request_router/retry_policy.cpp
@@ -37,6 +37,9 @@
 // factor.
 constexpr int kFasterRetryRatio = 2;
 
+// An attempt is cancelled only if the request may have this many more.
+constexpr int kAttemptsAfterCancel = 1;
+
 bool may_have_run(const PendingRequest& pending) {
   return std::any_of(pending.attempts.begin(), pending.attempts.end(),
                      [](const Attempt& attempt) { return attempt.is_in_flight || attempt.may_have_run; });
@@ -65,9 +68,12 @@
 
 bool CancellationPolicy::cancels_late_attempts() const { return lost_share_ >= kLossThreshold; }
 
+bool has_attempts_left(const RouterState& state, const PendingRequest& pending, int reserved) {
+  return static_cast<int>(pending.attempts.size()) + reserved < state.settings.max_attempts;
+}
+
 bool may_send(const RouterState& state, const PendingRequest& pending) {
-  if (pending.in_flight_count > 0) return false;
-  if (static_cast<int>(pending.attempts.size()) >= state.settings.max_attempts) return false;
+  if (pending.in_flight_count > 0 || !has_attempts_left(state, pending)) return false;
   const RequestClass& request_class = *pending.request_class;
   auto failures = std::count_if(pending.attempts.begin(), pending.attempts.end(),
                                 [](const Attempt& attempt) { return attempt.has_failed; });
@@ -110,7 +116,7 @@
     if (known == state.pending.end() || attempt.cancelled) continue;
     PendingRequest& pending = known->second;
     if (!may_repeat(state, pending)) continue;
-    if (static_cast<int>(pending.attempts.size()) + 1 >= state.settings.max_attempts) continue;
+    if (!has_attempts_left(state, pending, kAttemptsAfterCancel)) continue;
     Micros usual = to_micros(state.average_latency(member, attempt.request_class));
     if (!is_time_to_cancel(state, pending, attempt.sent_at, usual)) continue;
     attempt.cancelled = true;
--- a/src/request_router/retry_policy.h
+++ b/src/request_router/retry_policy.h
@@ -33,6 +33,9 @@
   double lost_share_ = 0;  // smoothed, of all attempts
 };
 
+// Whether the request may have more than `reserved` further attempts.
+bool has_attempts_left(const RouterState& state, const PendingRequest& pending, int reserved = 0);
+
 // Whether the request may be sent or retried. Implements the rule on effects together with `may_reject`.
 bool may_send(const RouterState& state, const PendingRequest& pending);
 
--- a/tests/proxy/crossings_test.cpp
+++ b/tests/proxy/crossings_test.cpp
@@ -1,6 +1,7 @@
 // Pairs of events that arrive at the same time. Each test makes both ready before the event loop fetches
 // events, so that the order under test occurs in every run. docs/design/lifecycles.md names the pair of each
 // test.
+#include "discovery_steps.h"
 #include "rig.h"
 
 namespace database_proxy::test {
@@ -65,29 +66,6 @@
   });
 }
 
-void set_discovery_address(ProxyFixture& fixture, const std::string& address) {
-  fixture.with_proxy([&fixture, address](proxy::Proxy& p) {
-    proxy::ProxyOptions options{fixture.config.listen, address, fixture.config.sockets, fixture.config.memory,
-                                fixture.config.pool,   {}};
-    p.reconfigure(options);
-  });
-}
-
-// Sends reads until `server` has received a request; returns the time that this took.
-Clock::duration time_until_used(ProxyFixture& fixture, Server& server) {
-  auto start = Clock::now();
-  Client client(fixture.port);
-  int number = 0;
-  bool used = eventually(
-      [&] {
-        client.query(read_sql("u" + std::to_string(++number), 300));
-        return server.count() > 0;
-      },
-      12s);
-  CHECK(used);
-  return Clock::now() - start;
-}
-
 // Accepts one connection after another and resets each after it has been served.
 class ResettingListener {
  public:
--- a/tests/proxy/rules_test.cpp
+++ b/tests/proxy/rules_test.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "app/logger.h"
+#include "discovery_steps.h"
 #include "rig.h"
 
 namespace database_proxy::test {
@@ -390,28 +391,21 @@
   Server new_server(true);
   new_discovery.set(endpoint_entry("s-n", new_server));  // its version is far lower than the old one's
   failing_discovery.calls_to_cut = 1 << 20;
-  auto set_discovery_address = [&](const std::string& address) {
-    fixture.with_proxy([&](proxy::Proxy& p) {
-      proxy::ProxyOptions options{fixture.config.listen,  address,
-                                  fixture.config.sockets, fixture.config.memory,
-                                  fixture.config.pool,    {}};
-      p.reconfigure(options);
-    });
-  };
-  set_discovery_address(failing_discovery.address());  // it sends no list: the old address stays in effect
+  // It sends no list: the old address stays in effect.
+  set_discovery_address(fixture, failing_discovery.address());
   REQUIRE(eventually([&] { return failing_discovery.calls >= 2; }));
   Server old_address_server(true);
   fixture.discovery.set(endpoint_entry("s-l", old_address_server));
   CHECK(eventually([&] { return client.query(read_sql("o1", 400)).row && old_address_server.count() > 0; }));
-  set_discovery_address(new_discovery.address());
+  set_discovery_address(fixture, new_discovery.address());
   CHECK(eventually([&] { return client.query(read_sql("o2", 400)).row && new_server.count() > 0; }));
   auto old_calls = fixture.discovery.calls.load();
-  set_discovery_address(new_discovery.address());  // unchanged address: the watch continues
+  set_discovery_address(fixture, new_discovery.address());  // unchanged address: the watch continues
   Server changed_server(true);
   new_discovery.set(endpoint_entry("s-q", changed_server));  // sent as a change on the same watch
   CHECK(eventually([&] { return client.query(read_sql("o3", 400)).row && changed_server.count() > 0; }));
   CHECK(fixture.discovery.calls == old_calls);
-  set_discovery_address(fixture.discovery.address());  // back to the first address
+  set_discovery_address(fixture, fixture.discovery.address());  // back to the first address
   CHECK(eventually([&] { return fixture.discovery.calls > old_calls; }));
 }
 
--- a/tests/proxy/slow_discovery_test.cpp
+++ b/tests/proxy/slow_discovery_test.cpp
@@ -1,5 +1,6 @@
 // A discovery service that is slow, stalls, or falls silent: it is followed within the platform's limits,
 // which are 4 s after SIGHUP and 6 s otherwise.
+#include "discovery_steps.h"
 #include "rig.h"
 
 namespace database_proxy::test {
@@ -7,28 +8,6 @@
 
 constexpr auto kLimitAfterReload = 4s, kLimit = 6s;
 
-void set_discovery_address(ProxyFixture& fixture, const std::string& address) {
-  fixture.with_proxy([&fixture, address](proxy::Proxy& p) {
-    proxy::ProxyOptions options{fixture.config.listen, address, fixture.config.sockets, fixture.config.memory,
-                                fixture.config.pool,   {}};
-    p.reconfigure(options);
-  });
-}
-
-// Sends reads until `server` has received one; returns the time that this took.
-Clock::duration time_until_used(ProxyFixture& fixture, Server& server) {
-  auto start = Clock::now();
-  Client client(fixture.port);
-  int number = 0;
-  CHECK(eventually(
-      [&] {
-        client.query(read_sql("u" + std::to_string(++number), 300));
-        return server.count() > 0;
-      },
-      12s));
-  return Clock::now() - start;
-}
-
 // A proxy that is in use, and the discovery service of a new address, which lists another server.
 struct NewDiscoveryFixture {
   NewDiscoveryFixture() {
