Testbench: a fault reaches a process under test only once it runs its program

Cause: the script stops a new process a few milliseconds after it was forked. One that has not executed its program by then holds copies of the testbench's descriptors while it is stopped, such as the listening socket of a fake server that is killed and starts again meanwhile.

Change: the constructor of ProcessUnderTest waits until the child has executed its program, by a pipe that closes on exec.

The program itself is unchanged.

--- a/src/testbench/process_under_test.cpp
+++ b/src/testbench/process_under_test.cpp
@@ -8,6 +8,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
@@ -53,6 +55,30 @@
   setenv("NODE_ACCEPT_FD", std::to_string(kInheritedDescriptor).c_str(), 1);
 }
 
+// Tells when a child process executes its program. Until then the child holds copies of all descriptors of
+// this process, such as the listening sockets of fake servers: one that is stopped that early would keep a
+// fake server from listening again.
+class ExecNotice {
+ public:
+  ExecNotice() {
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0)
+      throw std::runtime_error("cannot create a pipe: " + net::message_of(errno));
+    read_end_ = net::Fd(ends[0]);
+    write_end_ = net::Fd(ends[1]);
+  }
+  // Called in the parent process. Returns once the child has closed its end, by executing its program or by
+  // ending.
+  void wait() {
+    write_end_.reset();
+    char byte = 0;
+    while (read(read_end_.get(), &byte, 1) < 0 && errno == EINTR) continue;
+  }
+
+ private:
+  net::Fd read_end_, write_end_;
+};
+
 }  // namespace
 
 // The ports lie below the range that the kernel uses for outgoing connections. Otherwise such a connection
@@ -112,6 +138,7 @@
   write_file(config_path, config.dump(1));
   if (!options.operator_file.is_null()) write_operator_file(options.operator_file);
   write_file(log_path, "");
+  ExecNotice exec_notice;
   pid_ = fork();
   if (pid_ < 0) throw std::runtime_error("cannot fork a child process");
   if (pid_ == 0) {
@@ -141,6 +168,7 @@
     execv(options.program.c_str(), const_cast<char**>(arguments.data()));
     _exit(127);
   }
+  exec_notice.wait();
   if (!options.wait_until_ready) {
     port_ = options.port;
     return;
--- a/tests/testbench/process_test.cpp
+++ b/tests/testbench/process_test.cpp
@@ -39,6 +39,23 @@
 
 }  // namespace
 
+// Guards against faults that hit a copy of the testbench, which holds the fake servers' listening sockets.
+TEST_CASE("process: a process under test has executed its program when its construction ends") {
+  FakeServers fake_servers(FakeServersOptions{});
+  TestDirectory folder;
+  ProcessUnderTestOptions options;
+  options.program = DATABASE_PROXY_PROGRAM;
+  options.folder = folder.path;
+  options.discovery = fake_servers.discovery_address();
+  options.known_members = fake_servers.members();
+  options.wait_until_ready = false;
+  for (int i = 0; i < 20; ++i) {
+    ProcessUnderTest process(options);
+    auto executed = std::filesystem::read_symlink("/proc/" + std::to_string(process.pid()) + "/exe");
+    CHECK(executed == std::filesystem::canonical(options.program));
+  }
+}
+
 TEST_CASE("process: repeated SIGHUP and a SIGTERM under load with four workers lose no request") {
   for (std::string decisions : {"shared", "split"}) {
     FakeServers fake_servers(FakeServersOptions{});
