Clients that send much at once: none that has closed is served, each that stays is

Cause: a client was taken for connected where nothing was known of it (a command taken in this iteration, a client that was just accepted, a socket that was emptied while the client's system held back more). Messages without an answer took a turn of the loop each. All input since a pause of reading counted as sent at its beginning.

Change: one question, ClientSession::presence(), before a request is submitted and before each attempt, true at that moment; PresenceMonitor knows the signs. Without one the client is sent a ParameterStatus, which the system of a closed connection rejects, and its request waits, in no server's queue, at most for its own time; it is no longer rejected for that. UnansweredMessageFilter removes messages without an answer as they are read, ArrivalTimes bounds when input can have been sent, all clients that continue in an iteration share 1 MiB of it, and commands that are answered at once take an eighth of a request's turn.

invariants_test.cpp: "commands that wait for their turn" fills the turn with statements that take a whole share of it; SET no longer does, so that none was left waiting and the test closed nothing. It checks the same with the same bound.

--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -31,6 +31,10 @@
   // Reads once, up to `max_buffered` unread bytes in the buffer. For callers that can tell from the input
   // whether it is complete, and otherwise call again.
   IoResult read_once(int fd, std::size_t max_buffered);
+  // The unread bytes from `offset` on, which the caller may change. Valid until the next call that reads.
+  char* data_from(std::size_t offset) { return bytes_.data() + start_ + offset; }
+  // Drops all but the first `size` unread bytes.
+  void truncate(std::size_t size) { bytes_.resize(start_ + size); }
   std::size_t memory() const { return bytes_.capacity(); }
   void clear() { consume(bytes_.size()); }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -63,6 +63,8 @@
   // Calls on_ready(EPOLLIN) in the next iteration, which starts without a sleep. For a handler that stops
   // before EAGAIN so that other handlers get their turn.
   void call_again(Handler* handler) { pending_calls_.push_back(handler); }
+  // Returns the number of handlers that are called in this iteration because of call_again().
+  std::size_t called_again() const { return current_calls_.size(); }
   // Returns the number of this iteration.
   std::uint64_t iteration() const { return iteration_; }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -201,9 +201,11 @@
   return error;
 }
 
-bool peer_has_closed(int fd) {
-  pollfd state{fd, POLLRDHUP, 0};
-  return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+PeerState peer_state(int fd) {
+  pollfd state{fd, POLLIN | POLLRDHUP, 0};
+  if (poll(&state, 1, 0) <= 0) return PeerState::kConnected;
+  if ((state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return PeerState::kClosed;
+  return PeerState::kUnreadInput;
 }
 
 std::size_t unsent_bytes(int fd) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -50,8 +50,11 @@
 Fd accept_from(int listener, int* error);
 // Returns the pending error of a socket (SO_ERROR); 0: none.
 int socket_error(int fd);
+// What the end of a connection's peer shows. kUnreadInput: input waits, and the end may wait behind it.
+enum class PeerState { kConnected, kUnreadInput, kClosed };
+PeerState peer_state(int fd);
 // Returns whether the peer has closed, half-closed or reset this connection, even if unread input is pending.
-bool peer_has_closed(int fd);
+inline bool peer_has_closed(int fd) { return peer_state(fd) == PeerState::kClosed; }
 // Returns the number of bytes written to this connection that have not left this machine, because the peer
 // does not take them; 0 if the system does not tell.
 std::size_t unsent_bytes(int fd);
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -42,12 +42,15 @@
 
 }  // namespace
 
+bool is_message_type(char type) {
+  return (type >= 'A' && type <= 'Z') || (type >= 'a' && type <= 'z') || (type >= '1' && type <= '3');
+}
+
 ParseStatus parse_frame(std::string_view in, std::size_t max_body, Frame* frame) {
   if (in.empty()) return ParseStatus::kMore;
   // With an unknown type byte the stream is out of step, and the length after it is not valid either.
   char type = in[0];
-  if (!((type >= 'A' && type <= 'Z') || (type >= 'a' && type <= 'z') || (type >= '1' && type <= '3')))
-    return ParseStatus::kBad;
+  if (!is_message_type(type)) return ParseStatus::kBad;
   if (in.size() < 5) return ParseStatus::kMore;
   std::size_t length = read32(in, 1);
   if (length < 4 || length - 4 > max_body) return ParseStatus::kBad;
@@ -165,6 +168,8 @@
          message('K', key) + ready_for_query();
 }
 
+std::string repeated_parameter() { return parameter("client_encoding", "UTF8"); }
+
 std::string negotiate_version() { return message('v', std::string_view("\0\0\0\0\0\0\0\0", 8)); }
 
 std::string command_complete(std::string_view tag) {
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -17,6 +17,8 @@
   std::string_view body;  // points into the input
   std::size_t size = 0;   // of the whole message in bytes
 };
+// Whether a typed message may have this type byte.
+bool is_message_type(char type);
 // Parses the message at the beginning of `in`. A body longer than `max_body` gives kBad at once. `frame` is
 // set with kOk only.
 ParseStatus parse_frame(std::string_view in, std::size_t max_body, Frame* frame);
@@ -59,6 +61,9 @@
 // The answer to a client's startup: AuthenticationOk, the parameters that drivers expect, BackendKeyData
 // (which a CancelRequest repeats), ReadyForQuery.
 std::string greeting(std::uint32_t number, std::uint32_t secret);
+// A ParameterStatus that repeats one of the greeting. A server may send it at any time, and it changes
+// nothing.
+std::string repeated_parameter();
 // NegotiateProtocolVersion, for a client that requests a version above 3.0.
 std::string negotiate_version();
 std::string command_complete(std::string_view tag);
--- a/src/proxy/client_commands.cpp
+++ b/src/proxy/client_commands.cpp
@@ -51,13 +51,12 @@
   if (!fd_) return false;
   input_.consume(first.size);
   consumed_ += first.size;
+  if (state_ != State::kStartup) input_.start_messages();
   return true;
 }
 
 void ClientSession::handle_message(const pg::Frame& frame) {
   idle_since_ = loop_.now();
-  bool ends_skipping = frame.type == 'S' || frame.type == 'X';
-  if (state_ == State::kSkippingToSync && !ends_skipping) return;
   switch (frame.type) {
     case 'Q': {
       auto text = pg::query_text(frame.body);
@@ -67,23 +66,17 @@
     case kTerminate:  // the client waits for no answer
       return close_lost_peer();
     case 'S':  // Sync
-      state_ = State::kServing;
+      input_.return_command_share();
       return reply(pg::ready_for_query());
     case 'P':  // Parse, Bind, Execute, Describe, Close
     case 'B':
     case 'E':
     case 'D':
     case 'C':
-      state_ = State::kSkippingToSync;
+      // What follows up to the next Sync has no answer and was removed from the input.
       return reply(pg::error_response("ERROR", "0A000", "only simple queries are supported"));
-    case 'H':  // Flush
-      return;
     case 'F':
       return reply_error("0A000", "function calls are not supported");
-    case 'd':  // Copy messages outside a copy are ignored, as in PostgreSQL.
-    case 'c':
-    case 'f':
-      return;
     default:
       return fail_connection("08P01", "unknown message type");
   }
@@ -93,8 +86,10 @@
   auto statement = pg::parse_statement(text);
   switch (statement.kind) {
     case pg::StatementKind::kEmpty:
+      input_.return_command_share();
       return handle_empty_query();
     case pg::StatementKind::kSession:
+      input_.return_command_share();
       return reply_and_ready(pg::command_complete(statement.tag));
     case pg::StatementKind::kUnknown:
       return reply_error("42601", statement.problem);
@@ -119,8 +114,8 @@
     return reply_error(error->code, error->message);
   bool is_write = statement.kind == pg::StatementKind::kWrite;
   auto key = hash_of(statement.key);
-  auto arrived_at = input_.arrived_at();
-  is_blocked_ = must_wait_for_earlier(key, is_write);
+  auto arrived_at = input_.sent_at(parsed_, message_size_);
+  is_blocked_ = must_wait_for_earlier(key, is_write) || must_wait_for_presence();
   if (is_blocked_) {
     if (!blocked_since_) blocked_since_ = arrived_at;
     return;
@@ -136,7 +131,6 @@
   // The open request with the same id, which may belong to another client, is not affected.
   if (command->request == 0)
     return reply_error("42710", "a request with this id is already open or may have run");
-  command->iteration = loop_.iteration();
   command->stream_offset = consumed_ + parsed_;
   command->size = command->message_size = message_size_;
   command->timeout_begin = statement.timeout_begin;
@@ -156,4 +150,10 @@
   });
 }
 
+// Whether a further request has to wait because earlier ones wait for a sign of the client: they would not be
+// open otherwise.
+bool ClientSession::must_wait_for_presence() const {
+  return queue_.size() >= kMaxPipelinedRequests && presence_timer_ != net::Loop::kNoTimer;
+}
+
 }  // namespace database_proxy::proxy
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -25,15 +25,10 @@
 // A connection is closed if it sends no complete command within this time after it was opened, or after the
 // first byte of a later command: neither a silent connection nor an incomplete command may hold a descriptor.
 constexpr Micros kCommandTimeout = 2500ms;
-// The time for which a client counts as connected after that was last seen: an attempt must not begin more
-// than 0.1 s after its client has closed the connection.
-constexpr Micros kMaxPresenceAge = 50ms;
-// Limits of the interval between two looks at whether the client has confirmed its answers, and the share of
-// the time since they were sent that the interval takes between them.
-constexpr Micros kMinPresenceCheckInterval = 1ms, kMaxPresenceCheckInterval = 50ms;
-constexpr int kPresenceCheckDivisor = 4;
 // A client that reads nothing of its answers for this time is treated as gone.
 constexpr Micros kWriteTimeout = 5s;
+// The time after which a client's system has sent what it may send since its input was read.
+constexpr Micros kSettleTime = 5ms;
 // Time for which input is still read and discarded after a fatal error. Closing with unread input would send
 // a reset, which could overtake the error message.
 constexpr Micros kLingerTime = 1s;
@@ -53,8 +48,6 @@
       input_(loop, waiting_since),
       connected_at_(loop.now()),
       idle_since_(loop.now()),
-      present_at_(loop.now()),
-      wrote_at_(loop.now()),
       statement_charge_(owner.memory_budget(), BufferUse::kStatement),
       answer_charge_(owner.memory_budget(), BufferUse::kAnswer) {}
 
@@ -140,7 +133,10 @@
   if ((events & EPOLLOUT) != 0) {
     auto size_before = out_.size();
     if (!out_.flush(fd_.get())) return close_lost_peer();
-    if (out_.size() != size_before) write_timeout_.reset();  // the client reads: its timeout starts again
+    if (out_.size() != size_before) {
+      write_timeout_.reset();  // the client reads: its timeout starts again
+      on_output_written();
+    }
     account_memory();
   }
   if (is_lingering()) return discard_input();
@@ -163,49 +159,73 @@
   close();
 }
 
-// Returns whether the client of a command is still connected. For a request read in this loop iteration the
-// client was connected then. For earlier ones the connection is checked, since it may have ended after this
-// iteration fetched its events.
-ClientPresence ClientSession::presence(const QueuedCommand& command) {
-  if (fd_ && command.iteration == loop_.iteration()) return ClientPresence::kConnected;
-  if (fd_ && net::peer_has_closed(fd_.get())) close_lost_peer();
+// Returns what is known at this moment, not at the begin of the iteration, which may have taken long.
+ClientPresence ClientSession::presence() {
   if (!fd_) return ClientPresence::kGone;
-  return is_presence_known() ? ClientPresence::kConnected : ClientPresence::kUnknown;
-}
-
-// While input that does not fit into the buffer waits in the socket, the end of the connection may wait
-// behind it. The client was there lately if all was read then, or if it has confirmed answers that were sent
-// then: a closed connection rejects them.
-bool ClientSession::is_presence_known() {
-  if (!input_.is_paused() || loop_.now() - present_at_ <= kMaxPresenceAge) return true;
-  bool is_all_sent = wrote_at_ > present_at_ && unsent() == 0;
-  if (!is_all_sent || net::unconfirmed_bytes(fd_.get()) > 0 || net::peer_has_closed(fd_.get())) return false;
-  present_at_ = wrote_at_;
-  return loop_.now() - present_at_ <= kMaxPresenceAge;
-}
-
-// Whether an answer is on its way to the client, or will be, that the client may confirm.
-bool ClientSession::may_become_known() const {
-  return !queue_.empty() || unsent() > 0 || wrote_at_ > present_at_;
-}
-
-// Continues once earlier answers were confirmed, with the next answer, or when the socket takes more.
-void ClientSession::wait_for_presence() {
-  bool awaits_confirmation = out_.empty() && (!gathered_.empty() || wrote_at_ > present_at_);
-  if (!awaits_confirmation || presence_timer_ != net::Loop::kNoTimer) return;
-  auto interval = std::clamp((loop_.now() - wrote_at_) / kPresenceCheckDivisor, kMinPresenceCheckInterval,
-                             kMaxPresenceCheckInterval);
-  presence_timer_ = loop_.at(loop_.now() + interval, [this] {
-    presence_timer_ = net::Loop::kNoTimer;
-    process();
-  });
+  bool was_read_to_end = read_in_ == loop_.iteration();
+  if (was_read_to_end && presence_.is_known(net::monotonic_now())) return ClientPresence::kConnected;
+  bool is_known = look_for_presence();
+  if (!fd_) return ClientPresence::kGone;
+  if (is_known) return ClientPresence::kConnected;
+  ask_for_presence();
+  return fd_ ? ClientPresence::kUnknown : ClientPresence::kGone;
+}
+
+// Looks at the connection, and closes the session if it has ended. Returns whether the client is known to be
+// connected.
+bool ClientSession::look_for_presence() {
+  bool awaits_check = presence_timer_ != net::Loop::kNoTimer;
+  if (awaits_check) return presence_.is_known(net::monotonic_now());
+  auto state = net::peer_state(fd_.get());
+  if (state == net::PeerState::kUnreadInput && !input_.is_paused()) {
+    fill();
+    if (!fd_) return false;
+    continue_next_iteration();  // the input that was read is reported by no event
+    if (read_in_ == loop_.iteration()) state = net::PeerState::kConnected;
+  }
+  auto now = net::monotonic_now();
+  if (state == net::PeerState::kClosed) {
+    close_lost_peer();
+    return false;
+  }
+  if (state == net::PeerState::kConnected && now >= settles_at_) presence_.on_present(now);
+  bool was_known = presence_.is_known(now);
+  if (!was_known && presence_.awaits_confirmation())
+    presence_.on_output_confirmed(output_bytes_ - out_.size() - net::unconfirmed_bytes(fd_.get()));
+  return presence_.is_known(now);
+}
+
+// Sends something that the client's system has to confirm, unless something is out already or the end of the
+// connection may be seen in a moment.
+void ClientSession::ask_for_presence() {
+  bool is_settling = !input_.is_paused() && net::monotonic_now() < settles_at_;
+  if (!is_settling && !presence_.awaits_confirmation() && out_.empty() && !has_ended_output_) {
+    write({pg::repeated_parameter()});
+    if (fd_ && net::peer_state(fd_.get()) == net::PeerState::kClosed) close_lost_peer();
+    if (!fd_) return;
+    update_timeout();
+  }
+  check_presence_again();
+}
+
+// Makes the loop run again when there may be a sign: presence() is asked then.
+void ClientSession::check_presence_again() {
+  if (presence_timer_ != net::Loop::kNoTimer) return;
+  auto now = net::monotonic_now();
+  presence_timer_ =
+      loop_.at(now + presence_.check_interval(now), [this] { presence_timer_ = net::Loop::kNoTimer; });
+}
+
+// Called when the socket has accepted output for the client.
+void ClientSession::on_output_written() {
+  presence_.on_output_accepted(output_bytes_ - out_.size(), net::monotonic_now());
 }
 
 // Sets the timer for the next deadline of the client's reading and writing. Open requests have their own
 // timers.
 void ClientSession::update_timeout() {
   if (!fd_ || is_lingering()) return;
-  bool has_partial_command = queue_.empty() && !awaits_ready() && !input_.view().empty();
+  bool has_partial_command = queue_.empty() && !awaits_ready() && !input_.is_empty();
   if (!has_partial_command)
     command_began_at_.reset();
   else if (!command_began_at_)
@@ -266,12 +286,10 @@
 
 void ClientSession::fill() {
   input_.begin_iteration();
-  if (state_ == State::kFinishing) {  // input after the last command is discarded
-    if (net::is_disconnected(net::discard(fd_.get(), kDiscardPerIteration))) close_lost_peer();
-    return;
-  }
+  if (state_ == State::kFinishing) return discard_after_last_command();
   if (net::is_disconnected(input_.read(fd_.get()))) return close_lost_peer();
-  if (!input_.is_paused()) present_at_ = loop_.now();
+  if (!input_.is_paused()) on_input_at_end(input_.may_have_been_held_back());
+  if (input_.take_has_dropped_messages()) on_messages_dropped();
   auto charged_before = statement_charge_.bytes();
   account_memory();
   bool has_grown = statement_charge_.bytes() > charged_before;
@@ -279,6 +297,30 @@
     fail_connection("53200", "not enough buffer memory is left for a statement of this size");
 }
 
+// Discards part of the input behind the last command.
+void ClientSession::discard_after_last_command() {
+  auto end = net::discard(fd_.get(), kDiscardPerIteration);
+  if (net::is_disconnected(end)) return close_lost_peer();
+  if (end == net::IoResult::kAgain) on_input_at_end(true);
+}
+
+// Called when all input was read, and the end of the connection was not behind it. `may_be_held_back`: the
+// client's system may have more, and the end, which it was not allowed to send before.
+void ClientSession::on_input_at_end(bool may_be_held_back) {
+  auto now = net::monotonic_now();
+  if (may_be_held_back) settles_at_ = now + kSettleTime;
+  if (now < settles_at_) return;
+  presence_.on_present(loop_.now());
+  read_in_ = loop_.iteration();
+}
+
+// Messages without an answer are complete commands, too.
+void ClientSession::on_messages_dropped() {
+  has_sent_command_ = true;
+  command_began_at_.reset();
+  idle_since_ = loop_.now();
+}
+
 // Charges the budget with the buffers of this session.
 void ClientSession::account_memory() {
   statement_charge_.set(input_.memory() > pg::kMaxShortStatementBytes ? input_.memory() : 0);
@@ -320,6 +362,8 @@
   while (fd_ && may_take_commands())
     if (!process_next()) break;
   is_processing_ = false;
+  // The end of the stream may follow a command that waits for an earlier one.
+  if (fd_ && is_blocked_ && input_.is_paused() && !input_.is_buffer_full()) continue_next_iteration();
   bool closes_when_idle = shutdown_ != Shutdown::kNone;
   if (fd_ && closes_when_idle && is_idle()) return close_unless_more_came();
   update_timeout();
@@ -336,11 +380,7 @@
 
 // Processes the next message. Returns false if no more can be processed now.
 bool ClientSession::process_next() {
-  if (state_ == State::kStartup) {
-    if (handle_first_message()) return true;
-    input_.on_commands_taken(parsed_);
-    return false;
-  }
+  if (state_ == State::kStartup) return handle_first_message();
   if (input_.may_read_more()) {
     fill();
     if (!fd_ || !takes_commands()) return false;
@@ -360,11 +400,6 @@
     continue_next_iteration();
     return false;
   }
-  bool must_wait = shutdown_ == Shutdown::kNone && !is_presence_known();
-  if (must_wait && may_become_known()) {
-    wait_for_presence();
-    return false;
-  }
   return take_command(frame);
 }
 
@@ -374,7 +409,6 @@
     fail_connection("42601", "the statement is too long and not supported");
     return false;
   }
-  input_.on_commands_taken(parsed_);
   // If commands that wait for their answers fill the buffer, space is freed when they end.
   if (!input_.is_paused() || input_.is_buffer_full()) return false;
   if (input_.is_share_used_up()) {
@@ -418,8 +452,9 @@
   if (mode == WriteMode::kLast) return write_last(parts);
   bool is_gathered = mode == WriteMode::kGathered;
   if (!is_gathered && gathered_.empty()) {
+    for (auto part : parts) output_bytes_ += part.size();
     if (!out_.write(fd_.get(), parts)) return close_lost_peer();
-    wrote_at_ = loop_.now();
+    on_output_written();
     return account_memory();
   }
   if (gathered_.empty()) owner_.schedule_flush(this);
@@ -432,6 +467,7 @@
 void ClientSession::write_last(std::initializer_list<std::string_view> parts) {
   auto answers = std::exchange(gathered_, {});
   for (auto part : parts) answers.append(part);
+  output_bytes_ += answers.size();
   if (!out_.write_and_shut_down(fd_.get(), {answers})) return close_lost_peer();
   has_ended_output_ = out_.empty();
 }
@@ -439,14 +475,15 @@
 void ClientSession::flush() {
   if (!fd_ || gathered_.empty()) return;
   auto gathered = std::exchange(gathered_, {});
+  output_bytes_ += gathered.size();
   if (!out_.write(fd_.get(), {gathered})) return close_lost_peer();
-  wrote_at_ = loop_.now();
+  on_output_written();
   account_memory();
   if (!is_processing_) update_timeout();
 }
 
 void ClientSession::reply(std::string message) {
-  if (queue_.empty()) return write({message});
+  if (queue_.empty()) return write({message}, mode_for_reply());
   auto command = std::make_unique<QueuedCommand>(*this);
   command->size = message_size_;
   command->is_done = true;
@@ -525,6 +562,12 @@
   return queue_.size() > 1 ? WriteMode::kGathered : WriteMode::kAtOnce;
 }
 
+// Returns the write mode for an answer to the message that is being handled, where none is before it.
+ClientSession::WriteMode ClientSession::mode_for_reply() const {
+  bool has_more_input = input_.view().size() > message_size_;
+  return shutdown_ == Shutdown::kNone && has_more_input ? WriteMode::kGathered : WriteMode::kAtOnce;
+}
+
 void ClientSession::QueuedCommand::reject(Micros retry_after) {
   auto detail = retry_after.count() > 0 ? fmt::format("{}", retry_after / 1ms) : "";
   auto error = pg::error_response("ERROR", "53300", "too many requests at the moment", detail);
--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -15,6 +15,7 @@
 #include "proxy/dispatcher.h"
 #include "proxy/memory_budget.h"
 #include "proxy/ports.h"
+#include "proxy/presence_monitor.h"
 #include "proxy/session_input.h"
 
 namespace database_proxy::proxy {
@@ -77,7 +78,9 @@
   bool poll_input();
 
   // Between requests: no queued command, no partly read command, nothing left to write.
-  bool is_idle() const { return queue_.empty() && !awaits_ready() && input_.view().empty() && unsent() == 0; }
+  bool is_idle() const {
+    return queue_.empty() && !awaits_ready() && input_.is_empty() && !input_.is_paused() && unsent() == 0;
+  }
   // An answer is outstanding or not completely written.
   bool is_busy() const { return !is_lingering() && (!queue_.empty() || unsent() > 0); }
   // Complete commands may wait for the next loop iteration, in which this session continues.
@@ -88,7 +91,7 @@
   // The client has never sent a command.
   bool is_unused() const { return queue_.empty() && !has_sent_command_ && !awaits_ready(); }
   // A command has begun to arrive and is not complete.
-  bool is_mid_command() const { return queue_.empty() && has_started() && !input_.view().empty(); }
+  bool is_mid_command() const { return queue_.empty() && has_started() && !input_.is_empty(); }
   SessionBacklog backlog() const;
   Micros idle_since() const { return idle_since_; }
   std::uint32_t number() const { return number_; }
@@ -97,12 +100,11 @@
  private:
   // docs/design/lifecycles.md has the table of transitions.
   enum class State {
-    kStartup,         // messages before the session
-    kServing,         // accepts commands
-    kAwaitingReady,   // an empty query waits until a data server is known
-    kSkippingToSync,  // after a message of the extended protocol, as the protocol demands
-    kFinishing,       // accepts no more commands; the last one in the queue ends the connection
-    kLingering,       // the last answer is written; reading goes on until the peer closes
+    kStartup,        // messages before the session
+    kServing,        // accepts commands
+    kAwaitingReady,  // an empty query waits until a data server is known
+    kFinishing,      // accepts no more commands; the last one in the queue ends the connection
+    kLingering,      // the last answer is written; reading goes on until the peer closes
     kClosed,
   };
   enum class Shutdown { kNone, kClosingWhenIdle, kRejecting };
@@ -114,14 +116,13 @@
     Query query(Micros timeout) override { return session.query(*this, timeout); }
     bool has_memory_for(const Answer& answer) override { return session.has_memory_for(*this, answer); }
     void serve(const Answer& answer) override { session.serve(*this, answer); }
-    ClientPresence presence() override { return session.presence(*this); }
+    ClientPresence presence() override { return session.presence(); }
     void reject(Micros retry_after) override;
     void reject_at_shutdown() override;
     void fail(std::string_view why) override;
 
     ClientSession& session;
     RequestId request = 0;            // while it is open
-    std::uint64_t iteration = 0;      // of the loop, in which the request was read
     std::uint64_t stream_offset = 0;  // position of its message in the whole input stream
     std::size_t size = 0;             // bytes to consume with it
     std::size_t message_size = 0;     // bytes of its message alone
@@ -135,12 +136,9 @@
   };
 
   bool awaits_ready() const { return state_ == State::kAwaitingReady; }
-  bool takes_commands() const {
-    return state_ == State::kStartup || state_ == State::kServing || state_ == State::kSkippingToSync;
-  }
+  bool takes_commands() const { return state_ == State::kStartup || state_ == State::kServing; }
   bool has_started() const {
-    return state_ == State::kServing || state_ == State::kAwaitingReady || state_ == State::kSkippingToSync ||
-           state_ == State::kFinishing;
+    return state_ == State::kServing || state_ == State::kAwaitingReady || state_ == State::kFinishing;
   }
 
   // lifetime
@@ -148,10 +146,11 @@
   void check_closing();
   bool has_waiting_command() const;
   void close_lost_peer();
-  ClientPresence presence(const QueuedCommand& command);
-  bool is_presence_known();
-  bool may_become_known() const;
-  void wait_for_presence();
+  ClientPresence presence();
+  bool look_for_presence();
+  void ask_for_presence();
+  void check_presence_again();
+  void on_output_written();
   void update_timeout();
   std::optional<Micros> next_timeout() const;
   void on_timeout();
@@ -161,7 +160,10 @@
 
   // input
   void fill();
+  void discard_after_last_command();
+  void on_input_at_end(bool may_be_held_back);
   void process();
+  void on_messages_dropped();
   void close_unless_more_came();
   bool process_next();
   bool read_more_of_command();
@@ -177,6 +179,7 @@
   void handle_empty_query();
   void handle_request(const pg::Statement& statement);
   bool must_wait_for_earlier(std::uint64_t key, bool is_write) const;
+  bool must_wait_for_presence() const;
 
   // answers
   Query query(const QueuedCommand& command, Micros timeout) const;
@@ -195,6 +198,7 @@
   };
   bool is_front_last() const;
   WriteMode mode_for_front();
+  WriteMode mode_for_reply() const;
   void write(std::initializer_list<std::string_view> parts, WriteMode mode = WriteMode::kAtOnce);
   void write_last(std::initializer_list<std::string_view> parts);
   std::size_t unsent() const { return out_.size() + gathered_.size(); }
@@ -222,9 +226,12 @@
   std::optional<Micros> command_began_at_;  // of the command that is not complete
   net::Loop::TimerId timer_ = net::Loop::kNoTimer;
   Micros timer_at_{0};
-  net::Loop::TimerId presence_timer_ = net::Loop::kNoTimer;
-  Micros present_at_;  // the last time at which the client was known to be connected
-  Micros wrote_at_;    // the last time at which answers were handed to the socket
+  net::Loop::TimerId presence_timer_ =
+      net::Loop::kNoTimer;  // set while presence is unknown and was asked for
+  PresenceMonitor presence_;
+  std::uint64_t read_in_ = 0;       // the loop's iteration in which the input was last read to its end
+  Micros settles_at_{0};            // from then on, an empty socket shows that there is no more input
+  std::uint64_t output_bytes_ = 0;  // that were handed to out_
   std::deque<std::unique_ptr<QueuedCommand>> queue_;  // in the order of the commands
   std::uint64_t consumed_ = 0;                        // bytes of the stream before the input's buffer
   std::size_t parsed_ = 0;                            // bytes of the input that belong to the queue
--- a/src/proxy/dispatcher.cpp
+++ b/src/proxy/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace database_proxy::proxy {
@@ -124,12 +125,19 @@
 void Dispatcher::abandon(RequestId request) {
   if (!close(request)) return;
   ++counters_.disconnected;
-  if (std::erase_if(new_requests_, [&](auto& queued) { return queued.id == request; }) > 0) return;
+  if (erase_undecided(request)) return;
   abandoned_.push_back(request);
   pool_.cancel(request);
 }
 
+// Removes a request that was not submitted for a decision. Returns false if it was.
+bool Dispatcher::erase_undecided(RequestId request) {
+  auto is_same = [request](auto& undecided) { return undecided.id == request; };
+  return std::erase_if(new_requests_, is_same) + std::erase_if(awaiting_presence_, is_same) > 0;
+}
+
 void Dispatcher::on_guard_timer(RequestId request) {
+  if (erase_undecided(request)) return reject_undecided(request);
   log_(net::Level::kError, fmt::format("request {} had no decision by its deadline", request));
   auto* client = close(request);
   if (!client) return;
@@ -154,9 +162,7 @@
   bool is_rejected = may_reject(it->second);
   if (is_rejected) forget_effect(request);
   auto* client = close(request);
-  bool is_undecided =
-      std::erase_if(new_requests_, [request](auto& queued) { return queued.id == request; }) > 0;
-  if (!is_undecided) {
+  if (!erase_undecided(request)) {
     abandoned_.push_back(request);
     pool_.cancel(request);
   }
@@ -168,15 +174,6 @@
   return request_router::may_reject_at_shutdown(open.effect, open.may_have_run || open.is_sent);
 }
 
-// Ends a request that must not be sent, with its final answer.
-void Dispatcher::end_without_answer(RequestId request, std::string_view why) {
-  bool is_rejected = may_reject(open_.at(request));
-  if (is_rejected) forget_effect(request);
-  auto* client = close(request);
-  ++(is_rejected ? counters_.rejected : counters_.failed);
-  is_rejected ? client->reject(Micros(0)) : client->fail(why);
-}
-
 void Dispatcher::attempt_ended(AttemptEnd end) { attempt_ends_.push_back(std::move(end)); }
 void Dispatcher::probe_ended(routing::ProbeResult result) {
   if (logs_decisions_)
@@ -328,6 +325,7 @@
       }
       return;
     case Kind::kCancel:
+      if (end_held_attempt(decision)) return;
       return pool_.cancel(decision.request, decision.attempt);
     case Kind::kProbe:
       return probe_or_use_report(decision.server);
@@ -359,9 +357,8 @@
   auto* client = client_of(decision.request);
   if (decision.stale || !client) return end_unsent(decision);
   auto presence = client->presence();
-  if (presence == ClientPresence::kUnknown)
-    end_without_answer(decision.request, "the client is not known to be connected; this may have run");
-  if (presence != ClientPresence::kConnected) return end_unsent(decision);
+  if (presence == ClientPresence::kUnknown) return hold(decision);
+  if (presence == ClientPresence::kGone) return end_unsent(decision);
   auto& open = open_.at(decision.request);
   if (!record_effect(open)) {
     counters_.failed += 1;
@@ -388,12 +385,61 @@
   attempt_ends_.push_back(std::move(unsent));
 }
 
+void Dispatcher::hold(const routing::Decision& decision) {
+  if (logs_decisions_)
+    log_(net::Level::kDebug, fmt::format("request '{}' attempt {} waits for a sign of its client",
+                                         open_.at(decision.request).name, decision.attempt + 1));
+  held_attempts_.push_back({decision, loop_.now()});
+}
+
+// Sends the attempts whose clients are known to be connected by now. The limits of their decisions were
+// counted from the time at which they were held.
+void Dispatcher::resume_held_attempts() {
+  for (auto& held : std::exchange(held_attempts_, {})) {
+    auto& decision = held.decision;
+    auto waited = loop_.now() - held.since;
+    bool is_over = false;
+    for (auto* limit :
+         {&decision.timeout, &decision.start_within, &decision.arrive_within, &decision.fresh_within}) {
+      is_over = is_over || *limit <= waited;
+      if (*limit != Micros::max()) *limit -= waited;
+    }
+    is_over ? end_unsent(decision) : send(decision);
+  }
+}
+
+// Returns false if the attempt is not held.
+bool Dispatcher::end_held_attempt(const routing::Decision& cancellation) {
+  auto is_cancelled = [&](auto& held) {
+    return held.decision.request == cancellation.request && held.decision.attempt == cancellation.attempt;
+  };
+  auto held = std::find_if(held_attempts_.begin(), held_attempts_.end(), is_cancelled);
+  if (held == held_attempts_.end()) return false;
+  end_unsent(held->decision);
+  held_attempts_.erase(held);
+  return true;
+}
+
 void Dispatcher::submit_new_requests() {
+  for (auto& request : std::exchange(new_requests_, {}))
+    if (open_.count(request.id) > 0) submit_if_present(request);
+}
+
+// Submits a request for a decision, or lets it wait until its client is known to be connected. One that waits
+// takes no place at a server, and is rejected at the end of its time.
+void Dispatcher::submit_if_present(const routing::Request& request) {
   auto now = loop_.now();
-  for (auto& request : std::exchange(new_requests_, {})) {
-    if (open_.count(request.id) == 0) continue;
-    bool is_in_time = request.expires > now;
-    if (!is_in_time || !decider_.submit(now, request)) reject_undecided(request.id);
+  if (request.expires <= now) return reject_undecided(request.id);
+  auto& open = open_.at(request.id);
+  switch (open.client->presence()) {
+    case ClientPresence::kGone:
+      return;
+    case ClientPresence::kUnknown:
+      if (logs_decisions_ && open.since == now)
+        log_(net::Level::kDebug, fmt::format("request '{}' waits for a sign of its client", open.name));
+      return awaiting_presence_.push_back(request);
+    case ClientPresence::kConnected:
+      if (!decider_.submit(now, request)) reject_undecided(request.id);
   }
 }
 
@@ -401,6 +447,10 @@
   auto now = loop_.now();
   std::optional<Micros> next_due;
   pool_.start_ready_attempts();
+  resume_held_attempts();
+  std::swap(awaiting_presence_, new_requests_);
+  new_requests_.insert(new_requests_.end(), awaiting_presence_.begin(), awaiting_presence_.end());
+  awaiting_presence_.clear();
   // Carrying out a decision may produce results at once, such as a refused connection. The number of attempts
   // is limited, so the loop terminates.
   do {
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -118,6 +118,11 @@
     bool is_repeatable = true;  // its class allows a retry after an attempt that may have run
     request_router::Effect effect = request_router::Effect::kPure;
   };
+  // An attempt that was decided, and begins once its client is known to be connected.
+  struct HeldAttempt {
+    routing::Decision decision;
+    Micros since{0};
+  };
   void check_in_service(RequestId request, const std::string& server);
   void check_send(const routing::Decision& decision, const OpenRequest& open);
   void record_end(const routing::AttemptResult& result);
@@ -129,10 +134,14 @@
   bool record_effect(OpenRequest& open);
   void forget_effect(RequestId request);
   void end_unsent(const routing::Decision& decision);
-  void end_without_answer(RequestId request, std::string_view why);
   void probe(const std::string& server);
   void probe_or_use_report(const std::string& server);
   void submit_new_requests();
+  void submit_if_present(const routing::Request& request);
+  bool erase_undecided(RequestId request);
+  void hold(const routing::Decision& decision);
+  void resume_held_attempts();
+  bool end_held_attempt(const routing::Decision& cancellation);
   void reject_undecided(RequestId request);
   static bool may_reject(const OpenRequest& open);
   void end_at_shutdown(RequestId request);
@@ -167,6 +176,8 @@
   RequestObserver* observer_ = nullptr;
   std::vector<RequestId> abandoned_;
   std::vector<routing::Request> new_requests_;
+  std::vector<routing::Request> awaiting_presence_;  // not submitted for a decision yet
+  std::vector<HeldAttempt> held_attempts_;
   net::Loop::TimerId due_timer_ = net::Loop::kNoTimer;
 };
 
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -27,8 +27,9 @@
   std::size_t size() const { return frames[0].size() + frames[1].size() + frames[2].size(); }
 };
 
-// What is known of a client's connection. kUnknown: the client sends more than is read from it, so that the
-// end of its connection would not be seen, and nothing else has shown lately that it is there.
+// What is known of a client's connection. kUnknown: input waits that was not read, so that the end of the
+// connection would not be seen, and nothing else has shown lately that the client is there. It is asked for a
+// sign, and the loop runs again once there may be one.
 enum class ClientPresence { kConnected, kGone, kUnknown };
 
 // One client's request. Exactly one of serve, reject, reject_at_shutdown and fail is called, unless the
@@ -37,8 +38,8 @@
  public:
   virtual ~ClientPort() = default;
   virtual Query query(Micros timeout) = 0;
-  // Called right before an attempt begins. kGone: the client has disconnected, and its requests have been
-  // abandoned.
+  // Called right before a request is submitted for a decision, and before an attempt begins; true at that
+  // moment. kGone: the client has disconnected, and its requests have been abandoned.
   virtual ClientPresence presence() = 0;
   // False: there is no memory to keep the answer until the client reads it.
   virtual bool has_memory_for(const Answer& answer) = 0;
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -117,11 +117,16 @@
   auto now = pool_.loop_.now();
   auto* client = pool_.events_.client_of(job_->request);
   bool is_new_connection = state_ == State::kEstablished;  // for an idle one, the dispatcher has just checked
-  bool is_connected = client && (!is_new_connection || client->presence() == ClientPresence::kConnected);
-  if (!is_connected) {
+  auto presence = client ? ClientPresence::kConnected : ClientPresence::kGone;
+  if (client && is_new_connection) presence = client->presence();
+  if (presence == ClientPresence::kGone) {
     if (job_) finish(outcome_of_cancel(false), false);  // otherwise it has ended together with its request
     return std::nullopt;
   }
+  if (presence == ClientPresence::kUnknown) {
+    end_before_writing();
+    return std::nullopt;
+  }
   if (now >= std::min(job_->deadline, job_->start_by)) {
     finish(outcome_of_timeout(false), false);
     return std::nullopt;
@@ -133,13 +138,19 @@
 }
 
 // Ends an attempt that can no longer be sent while the server's data is known to be recent enough, and
-// returns true. The connection is good: it becomes idle, so that the read or another one can use it at once.
+// returns true.
 bool ServerConnection::end_if_not_fresh() {
   if (pool_.loop_.now() <= job_->fresh_until) return false;
   pool_.on_attempt_too_late(*job_, server_);
+  end_before_writing();
+  return true;
+}
+
+// Ends an attempt that must not be sent now, so that its request is decided again. The connection is good: it
+// becomes idle, and this request or another one can use it at once.
+void ServerConnection::end_before_writing() {
   was_used_ = true;
   finish(outcome_of_timeout(false), true);
-  return true;
 }
 
 void ServerConnection::limit_arrival(StatementWriter::Status status) {
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -57,6 +57,7 @@
   void on_writing_status(StatementWriter::Status status);
   void continue_writing();
   bool end_if_not_fresh();
+  void end_before_writing();
   void limit_arrival(StatementWriter::Status status);
   void on_arrival_limit();
   void withdraw();
--- a/tests/proxy/invariants_test.cpp
+++ b/tests/proxy/invariants_test.cpp
@@ -275,9 +275,9 @@
 TEST_CASE("invariants: closing a connection with commands that wait for their turn counts") {
   for (bool ends_session : {false, true}) {
     SessionFixture fixture(1);
-    constexpr int kShare = 8;  // commands that are taken in one iteration
+    constexpr int kShare = 8;  // statements that are taken in one iteration
     std::string commands;
-    for (int i = 1; i < kShare; ++i) commands += pg::simple_query("SET x = 1");
+    for (int i = 1; i < kShare; ++i) commands += pg::simple_query("SELECT 1");
     commands += ends_session ? std::string("X\0\0\0\4", 5) : pg::simple_query("SET x = 2");
     fixture.send_to_session(commands);
     fixture.dispatcher.client_of(1)->fail("answered");  // and with it the commands that were taken
