--- a/src/proxy/client_session.h
+++ b/src/proxy/client_session.h
@@ -1,6 +1,6 @@
 // One client connection that speaks PostgreSQL's protocol: its lifetime, its incoming messages, and its
 // answers in the order of the commands. Reading is in session_input.h, the rules for statements in
-// session_rules.h.
+// session_rules.h, what shows that a client is connected in presence_monitor.h.
 #pragma once
 
 #include <deque>
