presence_test: the writes that wait for a connection do wait

Two test cases took the primary's one idle connection with a write of another client. Now a client is taken whose write has not arrived within 30 ms, and the test says so where it has come before the connection.

--- a/tests/proxy/presence_test.cpp
+++ b/tests/proxy/presence_test.cpp
@@ -106,67 +106,76 @@
   CHECK_FALSE(has_write(fixture.primary, "gone"));
 }
 
-// Guards against an attempt that waited for its connection, and begins after its client has closed.
-TEST_CASE("presence: a write that waits for a connection is not sent after its client has closed") {
-  ProxyFixture fixture;
-  {
-    Client warm(fixture.port);
+namespace {
+
+// A primary whose idle connections are busy for a while, and which lets no new one come up until it is told
+// to.
+struct BusyPrimaryFixture : ProxyFixture {
+  BusyPrimaryFixture() {
+    Client warm(port);
     REQUIRE(warm.query(write_sql("o1")).row);
+    primary.reply = [](const std::string&) {
+      std::this_thread::sleep_for(1s);
+      return Reply{};
+    };
+    primary.hold_greeting = true;
   }
-  fixture.primary.reply = [](const std::string&) {
-    std::this_thread::sleep_for(400ms);
-    return Reply{};
-  };
-  Client other(fixture.port);
-  other.send(pg::simple_query(write_sql("o2", 3000)));  // occupies the idle connection
-  REQUIRE(eventually([&] { return has_write(fixture.primary, "o2"); }));
-  fixture.primary.hold_greeting = true;
-  {
-    Client client(fixture.port);
+  // Returns a client that has sent `text_for(id)`, and the id, such that its first write waits for a
+  // connection.
+  std::pair<std::unique_ptr<Client>, std::string> client_that_waits(
+      const std::function<std::string(const std::string&)>& text_for) {
+    while (true) {
+      auto id = "gone" + std::to_string(clients_on_idle_connections_.size());
+      auto client = std::make_unique<Client>(port);
+      REQUIRE(client->send(text_for(id)));
+      std::this_thread::sleep_for(30ms);
+      if (!has_write(primary, id)) return {std::move(client), id};
+      clients_on_idle_connections_.push_back(std::move(client));
+    }
+  }
+
+ private:
+  std::vector<std::unique_ptr<Client>> clients_on_idle_connections_;
+};
+
+}  // namespace
+
+// Guards against an attempt that waited for its connection, and begins after its client has closed.
+TEST_CASE("presence: a write that waits for a connection is not sent after its client has closed") {
+  BusyPrimaryFixture fixture;
+  auto [client, id] = fixture.client_that_waits([](auto& first) {
     std::string text;
     for (int i = 0; i < 60; ++i)  // of one key: each waits for the one before it
-      text += pg::simple_query(long_write_sql("gone" + std::to_string(i), "k9", 4096, 4000));
-    REQUIRE(client.send(text));
-    std::this_thread::sleep_for(20ms);
-  }
-  std::this_thread::sleep_for(150ms);
+      text += pg::simple_query(
+          long_write_sql(i == 0 ? first : first + "-" + std::to_string(i), "k" + first, 4096, 4000));
+    return text;
+  });
+  client->close();
+  std::this_thread::sleep_for(150ms);  // and with what came before under the time for a connection
+  REQUIRE_FALSE(has_write(fixture.primary, id));
   fixture.primary.hold_greeting = false;
-  CHECK(other.answer().row);
   std::this_thread::sleep_for(kAfterClose);
-  CHECK_FALSE(has_write(fixture.primary, "gone0"));
+  CHECK_FALSE(has_write(fixture.primary, id));
 }
 
 // Guards against input that is discarded behind a fatal error being taken for read to its end.
 TEST_CASE("presence: a write before a fatal error is not sent after its client has closed") {
-  ProxyFixture fixture;
-  {
-    Client warm(fixture.port);
-    REQUIRE(warm.query(write_sql("o1")).row);
-  }
-  fixture.primary.reply = [](const std::string&) {
-    std::this_thread::sleep_for(400ms);
-    return Reply{};
-  };
-  Client other(fixture.port);
-  other.send(pg::simple_query(write_sql("o2", 3000)));  // occupies the idle connection
-  REQUIRE(eventually([&] { return has_write(fixture.primary, "o2"); }));
-  fixture.primary.hold_greeting = true;
-  Client client(fixture.port);
-  REQUIRE(client.send(pg::simple_query(write_sql("gone", 4000)) + typed_message('~')));
-  std::this_thread::sleep_for(20ms);
+  BusyPrimaryFixture fixture;
+  auto [client, id] = fixture.client_that_waits(
+      [](auto& first) { return pg::simple_query(write_sql(first, 4000)) + typed_message('~'); });
   {
     ProxyFixture::PausedLoop paused(fixture);
-    std::thread sender([&] { client.send(std::string(8'000'000, 'x')); });
-    std::this_thread::sleep_for(50ms);  // sends what the sockets take
-    shutdown(client.fd(), SHUT_RDWR);
+    std::thread sender([&, peer = client.get()] { peer->send(std::string(8'000'000, 'x')); });
+    std::this_thread::sleep_for(30ms);  // sends what the sockets take
+    shutdown(client->fd(), SHUT_RDWR);
     sender.join();
-    client.close();
+    client->close();
     fixture.primary.hold_greeting = false;
-    std::this_thread::sleep_for(160ms);  // under the time for a connection, with what came before
+    std::this_thread::sleep_for(150ms);  // and with what came before under the time for a connection
+    REQUIRE_FALSE(has_write(fixture.primary, id));
   }
-  CHECK(other.answer().row);
   std::this_thread::sleep_for(kAfterClose);
-  CHECK_FALSE(has_write(fixture.primary, "gone"));
+  CHECK_FALSE(has_write(fixture.primary, id));
 }
 
 // Guards against a client being rejected because nothing is known of it when its connection is ready.
